--- /dev/null
+++ b/internal/connection/link/link.go
@@ -0,0 +1,115 @@
+// Package link carries typed calls between the scheduler's own processes as
+// JSON-RPC 2.0 over TCP. It frames, dials and multiplexes; it knows nothing of
+// what is called.
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Method names a call.
+type Method string
+
+// ErrNotSent tells that a call never left this process.
+var ErrNotSent = errors.New("link: call was not sent")
+
+// Handler answers one call. It runs in its own goroutine; the context ends with
+// the connection.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Table maps methods to handlers. It must not change once it is served.
+type Table map[Method]Handler
+
+// Handle makes a handler of a typed function.
+func Handle[Q, A any](f func(ctx context.Context, query Q) (A, error)) Handler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
+		var query Q
+		if err := json.Unmarshal(params, &query); err != nil {
+			return nil, fmt.Errorf("link: decode parameters: %w", err)
+		}
+		return f(ctx, query)
+	}
+}
+
+// Server serves a table on accepted connections.
+type Server struct {
+	table Table
+
+	mu    sync.Mutex
+	conns map[*jsonrpc2.Conn]struct{}
+}
+
+// NewServer returns a server of the table.
+func NewServer(table Table) *Server {
+	return &Server{table: table, conns: map[*jsonrpc2.Conn]struct{}{}}
+}
+
+// Serve accepts connections until the listener is closed or the context ends.
+// The channel yields one error when accepting has ended.
+func (s *Server) Serve(ctx context.Context, l net.Listener) <-chan error {
+	ended := make(chan error, 1)
+	stop := context.AfterFunc(ctx, func() {
+		_ = l.Close()
+		s.closeAll()
+	})
+	go func() {
+		defer stop()
+		ended <- s.accept(ctx, l)
+	}()
+	return ended
+}
+
+func (s *Server) accept(ctx context.Context, l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("link: accept: %w", err)
+		}
+		s.ServeConn(ctx, c)
+	}
+}
+
+// ServeConn serves one connection; it returns at once.
+func (s *Server) ServeConn(ctx context.Context, c net.Conn) {
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.answer)))
+	s.mu.Lock()
+	s.conns[conn] = struct{}{}
+	s.mu.Unlock()
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	go func() {
+		<-conn.DisconnectNotify()
+		s.mu.Lock()
+		delete(s.conns, conn)
+		s.mu.Unlock()
+	}()
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+}
+
+func (s *Server) answer(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	handler, ok := s.table[Method(r.Method)]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "link: no such method: " + r.Method}
+	}
+	if r.Params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "link: no parameters"}
+	}
+	return handler(ctx, *r.Params)
+}
--- /dev/null
+++ b/internal/connection/link/pool.go
@@ -0,0 +1,132 @@
+package link
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// dialTimeout bounds the time to open a connection.
+const dialTimeout = time.Second
+
+// Address is the IP address and port of a process of the scheduler.
+type Address string
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address Address) (net.Conn, error)
+
+// DialTCP opens a TCP connection.
+func DialTCP(ctx context.Context, address Address) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, fmt.Errorf("link: dial: %w", err)
+	}
+	return c, nil
+}
+
+// Pool keeps one connection to each address that is called. It is safe for
+// concurrent use.
+type Pool struct {
+	dial Dialer
+
+	mu    sync.Mutex
+	conns map[Address]*jsonrpc2.Conn
+}
+
+// NewPool returns a pool that opens connections with the dialer.
+func NewPool(dial Dialer) *Pool {
+	return &Pool{dial: dial, conns: map[Address]*jsonrpc2.Conn{}}
+}
+
+// Close closes all connections. Calls under way fail.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for a, c := range p.conns {
+		_ = c.Close()
+		delete(p.conns, a)
+	}
+}
+
+// conn returns an open connection to the address.
+func (p *Pool) conn(ctx context.Context, address Address) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	c := p.conns[address]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	raw, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return p.keep(address, raw), nil
+}
+
+// keep stores the connection, unless another call was faster.
+func (p *Pool) keep(address Address, raw net.Conn) *jsonrpc2.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		_ = raw.Close()
+		return c
+	}
+	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	// The connection outlives the call that opened it.
+	c := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	p.conns[address] = c
+	go p.forgetAtEnd(address, c)
+	return c
+}
+
+func (p *Pool) forgetAtEnd(address Address, c *jsonrpc2.Conn) {
+	<-c.DisconnectNotify()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == c {
+		delete(p.conns, address)
+	}
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "link: this side answers no calls"}
+}
+
+// RemoteError is an error that the called process returned.
+type RemoteError struct {
+	Code    int64
+	Message string
+}
+
+// Error returns the remote text.
+func (e *RemoteError) Error() string { return e.Message }
+
+// Call calls the method at the address. An error that wraps ErrNotSent means
+// that nothing reached the other side; a RemoteError is its answer; any other
+// error leaves open whether the call was carried out.
+func Call[A, Q any](ctx context.Context, p *Pool, address Address, method Method, query Q) (A, error) {
+	var answer A
+	c, err := p.conn(ctx, address)
+	if err != nil {
+		return answer, fmt.Errorf("link: %s: %w: %w", method, ErrNotSent, err)
+	}
+	err = c.Call(ctx, string(method), query, &answer)
+	if errors.Is(err, jsonrpc2.ErrClosed) {
+		// The library also says so for calls that were cut while under way.
+		return answer, fmt.Errorf("link: %s: connection ended: %w", method, err)
+	}
+	var remote *jsonrpc2.Error
+	if errors.As(err, &remote) {
+		return answer, &RemoteError{Code: remote.Code, Message: remote.Message}
+	}
+	if err != nil {
+		return answer, fmt.Errorf("link: %s: %w", method, err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/process/journal/write.go
@@ -0,0 +1,185 @@
+package journal
+
+import (
+	"context"
+	"hash/fnv"
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderpass/pkg/platform"
+)
+
+const (
+	// groupLimit is the most proposals in one append.
+	groupLimit = 256
+	// appendTimeout bounds one try of an append.
+	appendTimeout = 2 * time.Second
+	// snapshotCheck is the pause between two looks at the age of the last snapshot.
+	snapshotCheck = time.Second
+)
+
+// write appends proposals, one group at a time, for as long as the context
+// lasts. Only one append is in flight, so that sequences reach the log in order.
+func (j *Journal[R]) write(ctx context.Context) error {
+	check := time.NewTicker(snapshotCheck)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case p := <-j.queue:
+			j.appendGroup(ctx, j.gather(ctx, p))
+		case <-check.C:
+			j.snapshotIfDue(ctx)
+		}
+	}
+}
+
+// gather waits for company for the first proposal.
+func (j *Journal[R]) gather(ctx context.Context, first *proposal[R]) []*proposal[R] {
+	group := []*proposal[R]{first}
+	linger := time.NewTimer(j.options.Linger)
+	defer linger.Stop()
+	for len(group) < groupLimit {
+		select {
+		case p := <-j.queue:
+			group = append(group, p)
+		case <-linger.C:
+			return group
+		case <-ctx.Done():
+			return group
+		}
+	}
+	return group
+}
+
+func (j *Journal[R]) appendGroup(ctx context.Context, group []*proposal[R]) {
+	records := make([]R, 0, len(group))
+	for _, p := range group {
+		records = append(records, p.record)
+	}
+	sequence := j.reserve(group)
+	e := envelope[R]{Writer: j.writer, Sequence: sequence, Records: records}
+	if err := j.push(ctx, e); err != nil {
+		j.giveUp(sequence, err)
+	}
+}
+
+// reserve takes the next sequence and notes who waits for it.
+func (j *Journal[R]) reserve(group []*proposal[R]) uint64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.sequence++
+	if len(group) > 0 {
+		j.waiting[j.sequence] = group
+	}
+	return j.sequence
+}
+
+// giveUp tells a group that it will never be in the log.
+func (j *Journal[R]) giveUp(sequence uint64, err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	group := j.waiting[sequence]
+	delete(j.waiting, sequence)
+	for _, p := range group {
+		p.done <- err
+	}
+}
+
+// push appends the envelope until it is in the log. It returns ErrNotAppended
+// only if no try can have taken effect; a try of unknown fate is repeated, since
+// the same sequence is folded once.
+func (j *Journal[R]) push(ctx context.Context, e envelope[R]) error {
+	uncertain := false
+	for {
+		if j.seen(e.Sequence) {
+			j.setDown(false)
+			return nil
+		}
+		err := j.try(ctx, e)
+		j.setDown(err != nil && !errors.Is(err, platform.ErrThrottled))
+		if err == nil {
+			return nil
+		}
+		refused := errors.Is(err, platform.ErrLogDown)
+		throttled := errors.Is(err, platform.ErrThrottled)
+		uncertain = uncertain || !refused && !throttled
+		if refused && !uncertain {
+			return errors.WithMessage(ErrNotAppended, "journal: append refused")
+		}
+		if ctx.Err() != nil {
+			return ErrFateUnknown
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (j *Journal[R]) try(ctx context.Context, e envelope[R]) error {
+	e.Time = time.Now().UnixMilli()
+	payload, err := encode(e)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = j.log.Append(ctx, j.stream, payload)
+	return err
+}
+
+// seen tells whether the tail has folded the sequence already.
+func (j *Journal[R]) seen(sequence uint64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.folder.writers[j.writer].Sequence >= sequence
+}
+
+func (j *Journal[R]) setDown(down bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.down = down
+}
+
+// snapshotIfDue appends a snapshot when the last one is old. Rival writers cost
+// only space: their chunks describe prefixes of the same stream.
+func (j *Journal[R]) snapshotIfDue(ctx context.Context) {
+	chunks := j.dueChunks()
+	for i := range chunks {
+		e := envelope[R]{Writer: j.writer, Sequence: j.reserve(nil), Chunk: &chunks[i]}
+		if err := j.push(ctx, e); err != nil {
+			return
+		}
+	}
+}
+
+func (j *Journal[R]) dueChunks() []chunk {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.caughtUp || !j.snapshotDue() {
+		return nil
+	}
+	data, err := j.folder.marshal()
+	if err != nil {
+		return nil
+	}
+	return split(j.folder.offset, data)
+}
+
+func (j *Journal[R]) snapshotDue() bool {
+	fresh := uint64(j.folder.offset - min(j.folder.offset, j.lastSnapshot))
+	if fresh >= j.options.SnapshotEvery {
+		return true
+	}
+	return j.folder.offset > 0 && time.Since(j.lastSnapshotSeen) >= j.snapshotAge()
+}
+
+// snapshotAge spreads the writers of one stream over a fifth of the age, so
+// that mostly one of them writes.
+func (j *Journal[R]) snapshotAge() time.Duration {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.writer))
+	share := float64(h.Sum32()) / math.MaxUint32
+	return j.options.SnapshotAge - time.Duration(share*float64(j.options.SnapshotAge)/5)
+}
