--- /dev/null
+++ b/internal/version/bundle/parse.go
@@ -0,0 +1,86 @@
+package bundle
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid tells that a document is not a bundle; the text says where and why.
+var ErrInvalid = errors.New("bundle: invalid document")
+
+// defaults are the rules that a document may leave out.
+func defaults() Bundle {
+	return Bundle{
+		ApprovalsNeeded: 1,
+		Sharing: Sharing{
+			CompletionWeight:    1,
+			FragmentationWeight: 1,
+			CheckpointGrace:     Duration(10 * time.Second),
+			AgeingTime:          Duration(30 * time.Minute),
+			DeadLetterAfter:     3,
+			QuarantineAfter:     3,
+			QuarantineTime:      Duration(10 * time.Minute),
+			JobMemory:           Duration(24 * time.Hour),
+		},
+		Limits: Limits{
+			RequestMemory:      Duration(10 * time.Minute),
+			RequestTime:        Duration(30 * time.Second),
+			RetryShare:         0.1,
+			PaidBytesPerSecond: 64 << 10,
+			WaitingRequests:    512,
+		},
+	}
+}
+
+const (
+	defaultAnswerLimit = 1 << 20
+	defaultWaitingJobs = 1000
+)
+
+// Parse reads a TOML document. Unknown keys, wrong types and contradictions
+// are refused with ErrInvalid and the reason.
+func Parse(document string) (*Bundle, error) {
+	b := defaults()
+	meta, err := toml.Decode(document, &b)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("%w: unknown key %s", ErrInvalid, joinKeys(unknown))
+	}
+	b.fill()
+	if err := b.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return &b, nil
+}
+
+func joinKeys(keys []toml.Key) string {
+	names := make([]string, 0, len(keys))
+	for _, k := range keys {
+		names = append(names, k.String())
+	}
+	return strings.Join(names, ", ")
+}
+
+// fill gives the members of lists their defaults.
+func (b *Bundle) fill() {
+	for i := range b.Organisations {
+		o := &b.Organisations[i]
+		if o.Share == 0 {
+			o.Share = 1
+		}
+		if o.WaitingJobs == 0 {
+			o.WaitingJobs = defaultWaitingJobs
+		}
+	}
+	for i := range b.Services {
+		if b.Services[i].AnswerLimit == 0 {
+			b.Services[i].AnswerLimit = defaultAnswerLimit
+		}
+	}
+}
