--- /dev/null
+++ b/internal/process/ledger/placing.go
@@ -0,0 +1,267 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+
+	"corianderpass/internal/process/adjacency"
+	"corianderpass/pkg/platform"
+)
+
+// place judges a placement and, if it fits, gives the job its accelerators.
+func (s *State) place(p Place) error {
+	j, err := s.due(p.Job, p.Epoch, PhaseWaiting)
+	if err != nil {
+		return err
+	}
+	if j.Cancelled {
+		return fmt.Errorf("%w: cancelled", ErrPhase)
+	}
+	if err := s.checkShape(j, p); err != nil {
+		return err
+	}
+	if err := s.checkQuota(j, p); err != nil {
+		return err
+	}
+	take := s.takeBorrowed
+	switch p.Kind {
+	case KindGuaranteed:
+		take = s.takeGuaranteed
+	case KindFirm:
+		take = s.takeFirm
+	case KindBorrowed:
+	default:
+		return fmt.Errorf("%w: kind %q", ErrPlacement, p.Kind)
+	}
+	if err := take(j, p); err != nil {
+		return err
+	}
+	s.countJob(j, -1)
+	j.Phase = PhaseReserved
+	j.Epoch = p.Epoch
+	j.Driver = p.Driver
+	j.Kind = p.Kind
+	j.Guarantee = p.Guarantee
+	j.Assignments = p.Assignments
+	j.Placed = s.now
+	s.countJob(j, 1)
+	return nil
+}
+
+// due returns the job if the next epoch is the given one and the phase fits.
+func (s *State) due(id JobID, epoch platform.Epoch, phase Phase) (*Job, error) {
+	j := s.jobs[id]
+	if j == nil {
+		return nil, fmt.Errorf("%w: %s", ErrUnknownJob, id)
+	}
+	if j.Phase != phase {
+		return nil, fmt.Errorf("%w: %s is %s, not %s", ErrPhase, id, j.Phase, phase)
+	}
+	if epoch != j.Epoch+1 {
+		return nil, fmt.Errorf("%w: %s is at %d, not before %d", ErrEpoch, id, j.Epoch, epoch)
+	}
+	return j, nil
+}
+
+// checkShape tells whether the assignments are whole, apart and on usable workers.
+func (s *State) checkShape(j *Job, p Place) error {
+	if len(p.Assignments) != j.Tasks {
+		return fmt.Errorf("%w: %d assignments for %d tasks", ErrPlacement, len(p.Assignments), j.Tasks)
+	}
+	if p.Kind == KindBorrowed && !j.Preemptible {
+		return fmt.Errorf("%w: job must not be preempted", ErrPlacement)
+	}
+	taken := map[platform.WorkerID]platform.AcceleratorSet{}
+	for task, a := range p.Assignments {
+		w := s.workers[a.Worker]
+		if w == nil || w.Lost {
+			return fmt.Errorf("%w: task %d on unusable worker %s", ErrPlacement, task, a.Worker)
+		}
+		if !w.Trusted(s.now) && !(w.Testable(s.now) && j.Tasks == 1 && p.Kind == KindBorrowed) {
+			return fmt.Errorf("%w: worker %s is in quarantine", ErrPlacement, a.Worker)
+		}
+		if a.Accelerators&^w.All() != 0 || !adjacency.Adjacent(a.Accelerators) {
+			return fmt.Errorf("%w: task %d has no adjacent accelerators of %s", ErrPlacement, task, a.Worker)
+		}
+		if p.Kind != KindGuaranteed && a.Accelerators.Count() != j.Accelerators {
+			return fmt.Errorf("%w: task %d has %d accelerators, needs %d", ErrPlacement, task, a.Accelerators.Count(), j.Accelerators)
+		}
+		if taken[a.Worker]&a.Accelerators != 0 {
+			return fmt.Errorf("%w: tasks overlap on %s", ErrPlacement, a.Worker)
+		}
+		taken[a.Worker] |= a.Accelerators
+	}
+	return nil
+}
+
+func (s *State) checkQuota(j *Job, p Place) error {
+	o, err := s.organisation(j.ID.Organisation())
+	if err != nil {
+		return err
+	}
+	demand := 0
+	for _, a := range p.Assignments {
+		demand += a.Accelerators.Count()
+	}
+	if o.AcceleratorQuota > 0 && s.held[o.Name]+demand > o.AcceleratorQuota {
+		return fmt.Errorf("%w: %s holds %d of %d", ErrQuota, o.Name, s.held[o.Name], o.AcceleratorQuota)
+	}
+	return nil
+}
+
+// holding returns what a task of the job holds.
+func (s *State) holding(j *Job, task int, a Assignment) Holding {
+	return Holding{
+		Job: j.ID, Task: task, Accelerators: a.Accelerators, Cores: j.Cores, Memory: j.Memory,
+		Firm: j.Kind != KindBorrowed,
+	}
+}
+
+// takeBorrowed gives a preemptible job accelerators that nobody holds.
+func (s *State) takeBorrowed(j *Job, p Place) error {
+	trial := *j
+	trial.Kind = p.Kind
+	for task, a := range p.Assignments {
+		w := s.workers[a.Worker]
+		if w.Free()&a.Accelerators != a.Accelerators || !w.HasRoom(j.Cores, j.Memory) {
+			s.dropTasks(p, j.ID, task)
+			return fmt.Errorf("%w: %s has no room for task %d", ErrPlacement, a.Worker, task)
+		}
+		w.hold(s.holding(&trial, task, a))
+	}
+	return nil
+}
+
+// dropTasks takes the holdings of the first tasks back.
+func (s *State) dropTasks(p Place, id JobID, count int) {
+	for task := range count {
+		s.workers[p.Assignments[task].Worker].dropTask(id, task)
+	}
+}
+
+// takeFirm gives a job accelerators that nobody holds and moves the unfilled
+// slots that stood there. It fails if a slot finds no other place.
+func (s *State) takeFirm(j *Job, p Place) error {
+	if s.slots.short > 0 {
+		return fmt.Errorf("%w: %d slots have no place already", ErrGuarantee, s.slots.short)
+	}
+	trial := *j
+	trial.Kind = p.Kind
+	var moved []slotPlace
+	for task, a := range p.Assignments {
+		w := s.workers[a.Worker]
+		if w.Free()&a.Accelerators != a.Accelerators || !w.HasRoom(j.Cores, j.Memory) {
+			s.dropTasks(p, j.ID, task)
+			s.putBack(moved)
+			return fmt.Errorf("%w: %s has no room for task %d", ErrPlacement, a.Worker, task)
+		}
+		moved = append(moved, s.clearFor(a.Worker, a.Accelerators)...)
+		w.hold(s.holding(&trial, task, a))
+		moved = append(moved, s.clearCores(w)...)
+	}
+	if !s.reseat(moved) {
+		s.dropTasks(p, j.ID, len(p.Assignments))
+		s.putBack(moved)
+		return fmt.Errorf("%w: an unfilled slot finds no other place", ErrGuarantee)
+	}
+	return nil
+}
+
+// takeGuaranteed fills slots of the organisation's own guarantee, moves them to
+// the assigned accelerators and preempts what stands there.
+func (s *State) takeGuaranteed(j *Job, p Place) error {
+	filled, err := s.slotsFor(j, p)
+	if err != nil {
+		return err
+	}
+	var moved []slotPlace
+	for _, i := range filled {
+		l := s.slots.list[i]
+		moved = append(moved, slotPlace{index: i, worker: l.Worker, set: l.Accelerators})
+		s.unseat(i)
+	}
+	trial := *j
+	trial.Kind = p.Kind
+	for task, a := range p.Assignments {
+		l := s.slots.list[filled[task]]
+		w := s.workers[a.Worker]
+		room := w.All() &^ w.firm &^ w.reserved
+		if room&a.Accelerators != a.Accelerators || !w.hasFirmRoom(l.Cores, l.Memory) {
+			s.dropTasks(p, j.ID, task)
+			s.putBack(moved)
+			return fmt.Errorf("%w: %s has no room for the slot of task %d", ErrPlacement, a.Worker, task)
+		}
+		h := s.holding(&trial, task, a)
+		h.Cores = l.Cores
+		h.Memory = l.Memory
+		s.setSlot(filled[task], a.Worker, a.Accelerators, j.ID)
+		w.hold(h)
+	}
+	for _, a := range p.Assignments {
+		s.preempt(s.workers[a.Worker])
+	}
+	return nil
+}
+
+// slotsFor returns the index of the slot that each task fills.
+func (s *State) slotsFor(j *Job, p Place) ([]int, error) {
+	filled := make([]int, 0, len(p.Assignments))
+	for task, a := range p.Assignments {
+		i := s.findSlot(slotKey{j.ID.Organisation(), p.Guarantee, a.Slot})
+		if i < 0 || slices.Contains(filled, i) {
+			return nil, fmt.Errorf("%w: task %d names no slot of its own", ErrPlacement, task)
+		}
+		l := s.slots.list[i]
+		if l.Job != "" || l.Short() || !l.takes(j.Spec) || a.Accelerators.Count() != l.Size {
+			return nil, fmt.Errorf("%w: slot %d of %s does not take task %d", ErrPlacement, a.Slot, p.Guarantee, task)
+		}
+		filled = append(filled, i)
+	}
+	return filled, nil
+}
+
+func (s *State) findSlot(key slotKey) int {
+	for i, l := range s.slots.list {
+		if l.key() == key {
+			return i
+		}
+	}
+	return -1
+}
+
+// preempt drops preemptible holdings until the worker's firm ones fit, the
+// overlapping ones first, then the newest. Their jobs must stop as a whole.
+func (s *State) preempt(w *Worker) {
+	for i := len(w.Holdings) - 1; i >= 0; i-- {
+		h := w.Holdings[i]
+		if !h.Firm && h.Accelerators&w.firm != 0 {
+			s.preemptHolding(w, i)
+		}
+	}
+	for i := len(w.Holdings) - 1; i >= 0 && !w.HasRoom(0, 0); i-- {
+		if !w.Holdings[i].Firm {
+			s.preemptHolding(w, i)
+		}
+	}
+	w.rebuildBorrowed()
+}
+
+func (s *State) preemptHolding(w *Worker, i int) {
+	j := s.jobs[w.Holdings[i].Job]
+	w.drop(i)
+	if j.Phase == PhaseStopping {
+		return
+	}
+	j.Phase = PhaseStopping
+	j.Preemptions++
+}
+
+// rebuildBorrowed restores the set after overlapping holdings were dropped.
+func (w *Worker) rebuildBorrowed() {
+	w.borrowed = 0
+	for _, h := range w.Holdings {
+		if !h.Firm {
+			w.borrowed |= h.Accelerators
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/ledger/state.go
@@ -0,0 +1,217 @@
+// Package ledger is the deterministic record of one region: its workers, its
+// organisations' guarantees, the jobs and the claimed requests. It judges every
+// record of the region's stream and does no I/O; equal streams give equal states.
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"corianderpass/internal/process/journal"
+	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/platform"
+)
+
+// State is the ledger of one region. It implements journal.Machine; all methods
+// must be called one at a time, under the journal's lock.
+type State struct {
+	region platform.Region
+	rules  Rules
+	// onEnd is called for every job that ends; it is not part of the state.
+	onEnd func(*Job)
+	// moves counts the records that were judged.
+	moves platform.Offset
+	// now is the stream's time at the last record.
+	now      time.Time
+	version  bundle.Version
+	rulebook *bundle.Bundle
+	workers  map[platform.WorkerID]*Worker
+	// order has the IDs of all workers, sorted.
+	order []platform.WorkerID
+	jobs  map[JobID]*Job
+	// active are the jobs that have not ended.
+	active map[JobID]*Job
+	slots  slotTable
+	// claims are the claimed requests.
+	claims map[ClaimKey]*ClaimState
+	// corrections hold what was learned of declared run times.
+	corrections map[CorrectionKey]Correction
+	// held is the number of accelerators that each organisation holds.
+	held map[bundle.OrganisationName]int
+	// open is the number of jobs of each organisation that have not ended.
+	open map[bundle.OrganisationName]int
+	// expiries are ended jobs and settled claims in the order of their end.
+	expiries []expiry
+}
+
+// NewState returns the empty ledger of a region.
+func NewState(region platform.Region) *State {
+	s := &State{region: region, rules: CurrentRules}
+	s.clear()
+	return s
+}
+
+func (s *State) clear() {
+	s.workers = map[platform.WorkerID]*Worker{}
+	s.order = nil
+	s.jobs = map[JobID]*Job{}
+	s.active = map[JobID]*Job{}
+	s.slots = slotTable{}
+	s.claims = map[ClaimKey]*ClaimState{}
+	s.corrections = map[CorrectionKey]Correction{}
+	s.held = map[bundle.OrganisationName]int{}
+	s.open = map[bundle.OrganisationName]int{}
+	s.expiries = nil
+}
+
+// Region returns the region.
+func (s *State) Region() platform.Region { return s.region }
+
+// Now returns the time of the last record.
+func (s *State) Now() time.Time { return s.now }
+
+// OnEnd sets what is called for every job that ends. Call it before the first
+// record.
+func (s *State) OnEnd(f func(*Job)) { s.onEnd = f }
+
+// Moves returns a number that rises with every record. It is not part of the
+// state that replicas share.
+func (s *State) Moves() platform.Offset { return s.moves }
+
+// Version returns the version of the adopted bundle.
+func (s *State) Version() bundle.Version { return s.version }
+
+// Bundle returns the adopted bundle, nil before the first.
+func (s *State) Bundle() *bundle.Bundle { return s.rulebook }
+
+// Workers returns the IDs of all workers, sorted. The slice must not be changed.
+func (s *State) Workers() []platform.WorkerID { return s.order }
+
+// Worker returns a worker, nil if unknown. It must not be changed.
+func (s *State) Worker(id platform.WorkerID) *Worker { return s.workers[id] }
+
+// Job returns a job, nil if unknown or forgotten. It must not be changed.
+func (s *State) Job(id JobID) *Job { return s.jobs[id] }
+
+// Held returns the accelerators that an organisation holds.
+func (s *State) Held(name bundle.OrganisationName) int { return s.held[name] }
+
+// Active returns the jobs that have not ended and for which the filter is true, by ID.
+func (s *State) Active(filter func(*Job) bool) []*Job { return sorted(s.active, filter) }
+
+// Jobs returns the jobs for which the filter is true, by ID.
+func (s *State) Jobs(filter func(*Job) bool) []*Job { return sorted(s.jobs, filter) }
+
+func sorted(jobs map[JobID]*Job, filter func(*Job) bool) []*Job {
+	var found []*Job
+	for _, j := range jobs {
+		if filter(j) {
+			found = append(found, j)
+		}
+	}
+	sort.Slice(found, func(a, b int) bool { return found[a].ID < found[b].ID })
+	return found
+}
+
+// snapshotData is the stored form of a state.
+type snapshotData struct {
+	Region      platform.Region
+	Rules       Rules
+	Now         time.Time
+	Version     bundle.Version
+	Bundle      *bundle.Bundle
+	Workers     map[platform.WorkerID]*Worker
+	Jobs        map[JobID]*Job
+	Slots       []Slot
+	Claims      map[ClaimKey]*ClaimState
+	Corrections map[CorrectionKey]Correction
+	Expiries    []expiry
+}
+
+// MarshalSnapshot implements journal.Machine.
+func (s *State) MarshalSnapshot() ([]byte, error) {
+	data, err := json.Marshal(snapshotData{
+		Region: s.region, Rules: s.rules, Now: s.now.UTC(), Version: s.version, Bundle: s.rulebook,
+		Workers: s.workers, Jobs: s.jobs, Slots: s.slots.list, Claims: s.claims,
+		Corrections: s.corrections, Expiries: s.expiries,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("ledger: marshal: %w", err)
+	}
+	return data, nil
+}
+
+// RestoreSnapshot implements journal.Machine. A snapshot that breaks an
+// invariant is refused and changes nothing.
+func (s *State) RestoreSnapshot(data []byte) error {
+	var d snapshotData
+	if err := json.Unmarshal(data, &d); err != nil {
+		return fmt.Errorf("ledger: restore: %w", err)
+	}
+	next := NewState(d.Region)
+	next.load(d)
+	if err := next.Check(); err != nil {
+		return fmt.Errorf("ledger: restore: %w", err)
+	}
+	next.moves = s.moves + 1
+	next.onEnd = s.onEnd
+	*s = *next
+	return nil
+}
+
+func (s *State) load(d snapshotData) {
+	s.rules = d.Rules
+	s.now = d.Now
+	s.version = d.Version
+	s.rulebook = d.Bundle
+	for id, w := range d.Workers {
+		s.workers[id] = w
+		s.order = append(s.order, id)
+		for _, h := range w.Holdings {
+			w.count(h)
+		}
+	}
+	slices.Sort(s.order)
+	for id, j := range d.Jobs {
+		s.jobs[id] = j
+		s.countJob(j, 1)
+	}
+	s.slots.list = d.Slots
+	for i := range s.slots.list {
+		s.bindSlot(i, 1)
+	}
+	if d.Claims != nil {
+		s.claims = d.Claims
+	}
+	if d.Corrections != nil {
+		s.corrections = d.Corrections
+	}
+	s.expiries = d.Expiries
+}
+
+// countJob adds the job to the sums, or takes it out with sign -1.
+func (s *State) countJob(j *Job, sign int) {
+	name := j.ID.Organisation()
+	if j.Phase != PhaseEnded {
+		s.open[name] += sign
+		s.active[j.ID] = j
+	} else {
+		delete(s.active, j.ID)
+	}
+	if j.Holds() {
+		s.held[name] += sign * heldAccelerators(j)
+	}
+}
+
+func heldAccelerators(j *Job) int {
+	total := 0
+	for _, a := range j.Assignments {
+		total += a.Accelerators.Count()
+	}
+	return total
+}
+
+var _ journal.Machine[Record] = (*State)(nil)
