--- /dev/null
+++ b/internal/process/placement/placement.go
@@ -0,0 +1,284 @@
+// Package placement decides which waiting jobs start where. It is a pure
+// function of the ledger's state and the time; the ledger judges what it proposes.
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"corianderpass/internal/process/ledger"
+	"corianderpass/pkg/platform"
+)
+
+// Policy chooses placements. The zero value is the full policy; each field
+// switches one part off, to measure what it is worth.
+type Policy struct {
+	// NoBackfill lets nothing pass the blocked head of the queue.
+	NoBackfill bool
+	// NoAgeing leaves the waiting time out of the order.
+	NoAgeing bool
+	// NoCorrection takes declared run times as they are.
+	NoCorrection bool
+	// NoPatience lets small jobs break into empty workers at once.
+	NoPatience bool
+}
+
+// maxDecisions bounds the placements of one decision.
+const maxDecisions = 64
+
+// Skip tells which jobs are not to be placed now.
+type Skip func(ledger.JobID) bool
+
+// plan is one decision under way.
+type plan struct {
+	policy Policy
+	state  *ledger.State
+	now    time.Time
+	view   *view
+	// shadow is when the blocked head of the queue is expected to start.
+	shadow time.Time
+	// blocked is true once a job could not be placed.
+	blocked bool
+	// large is true if a gang that needs whole workers waits.
+	large bool
+	// filled has the slots that this plan gave away.
+	filled map[int]bool
+	held   map[string]int
+	places []ledger.Place
+}
+
+// Decide returns placements for waiting jobs, best first. Each has the epoch
+// that is due and no driver.
+func (p Policy) Decide(s *ledger.State, now time.Time, skip Skip) []ledger.Place {
+	waiting := s.Active(func(j *ledger.Job) bool {
+		return j.Phase == ledger.PhaseWaiting && !j.Cancelled && !skip(j.ID)
+	})
+	if len(waiting) == 0 || s.Bundle() == nil {
+		return nil
+	}
+	d := &plan{policy: p, state: s, now: now, view: newView(s, now), filled: map[int]bool{}, held: map[string]int{}}
+	d.order(waiting)
+	for _, j := range waiting {
+		d.large = d.large || !j.Small()
+	}
+	for _, j := range waiting {
+		if len(d.places) == maxDecisions {
+			break
+		}
+		d.consider(j)
+	}
+	return d.places
+}
+
+// order sorts the queue: urgent jobs first, then those that waited too long,
+// then by the response ratio, weighted by how little their organisation holds.
+func (d *plan) order(waiting []*ledger.Job) {
+	type rank struct {
+		urgent, aged bool
+		score        float64
+	}
+	ranks := make(map[ledger.JobID]rank, len(waiting))
+	ageing := d.state.Bundle().Sharing.AgeingTime.Std()
+	for _, j := range waiting {
+		wait := d.now.Sub(j.Submitted)
+		ranks[j.ID] = rank{
+			urgent: j.Class == ledger.ClassUrgent,
+			aged:   !d.policy.NoAgeing && wait >= ageing,
+			score:  d.score(j, wait),
+		}
+	}
+	sort.SliceStable(waiting, func(a, b int) bool {
+		x, y := ranks[waiting[a].ID], ranks[waiting[b].ID]
+		switch {
+		case x.urgent != y.urgent:
+			return x.urgent
+		case x.aged != y.aged:
+			return x.aged
+		case x.aged:
+			return waiting[a].Submitted.Before(waiting[b].Submitted)
+		}
+		return x.score > y.score
+	})
+}
+
+// score is the response ratio, the wait and the run over the run, times the
+// organisation's share for each accelerator that it would hold.
+func (d *plan) score(j *ledger.Job, wait time.Duration) float64 {
+	run := max(time.Second, d.runTime(j))
+	ratio := 1.0
+	if !d.policy.NoAgeing {
+		ratio += float64(wait) / float64(run)
+	}
+	o, known := d.state.Bundle().Organisation(j.ID.Organisation())
+	if !known {
+		return 0
+	}
+	return ratio * float64(o.Share) / float64(d.state.Held(o.Name)+j.Demand())
+}
+
+func (d *plan) runTime(j *ledger.Job) time.Duration {
+	if d.policy.NoCorrection {
+		return max(0, j.RunTime-j.Progress)
+	}
+	return d.state.ExpectedRunTime(j)
+}
+
+// consider places the job if it can be placed, or sets accelerators aside for
+// it if it is the first that cannot.
+func (d *plan) consider(j *ledger.Job) {
+	if d.overQuota(j) {
+		return
+	}
+	if d.guaranteed(j) {
+		return
+	}
+	kind := ledger.KindBorrowed
+	if !j.Preemptible {
+		kind = ledger.KindFirm
+	}
+	gang := d.search(j)
+	if gang != nil {
+		d.add(j, shapeOf(j.Spec), ledger.Place{Kind: kind, Assignments: gang})
+		return
+	}
+	if !d.blocked {
+		d.block(j)
+	}
+}
+
+func (d *plan) overQuota(j *ledger.Job) bool {
+	o, known := d.state.Bundle().Organisation(j.ID.Organisation())
+	if !known {
+		return true
+	}
+	held := d.state.Held(o.Name) + d.held[string(o.Name)]
+	return o.AcceleratorQuota > 0 && held+j.Demand() > o.AcceleratorQuota
+}
+
+func (d *plan) add(j *ledger.Job, s shape, p ledger.Place) {
+	p.Job = j.ID
+	p.Epoch = j.Epoch + 1
+	d.view.take(s, p.Assignments)
+	d.held[string(j.ID.Organisation())] += s.tasks * s.accelerators
+	d.places = append(d.places, p)
+}
+
+// guaranteed fills slots of the organisation's guarantee if one takes the gang.
+// Free accelerators are preferred to the slots' own places, where somebody may
+// have to be preempted.
+func (d *plan) guaranteed(j *ledger.Job) bool {
+	name, slots := d.state.OpenSlots(j.Spec, d.filled)
+	if slots == nil {
+		return false
+	}
+	first := d.state.Slots()[slots[0]]
+	s := shape{tasks: j.Tasks, accelerators: first.Size, cores: first.Cores, memory: first.Memory}
+	gang := d.ownPlaces(slots)
+	if gang == nil {
+		gang = d.view.pick(s, open)
+	}
+	if gang == nil {
+		gang = d.seats(slots)
+	}
+	for task := range gang {
+		gang[task].Slot = d.state.Slots()[slots[task]].Index
+	}
+	for _, i := range slots {
+		d.filled[i] = true
+	}
+	d.add(j, s, ledger.Place{Kind: ledger.KindGuaranteed, Guarantee: name, Assignments: gang})
+	return true
+}
+
+// seats returns the slots' own places.
+func (d *plan) seats(slots []int) []ledger.Assignment {
+	var gang []ledger.Assignment
+	for _, i := range slots {
+		l := d.state.Slots()[i]
+		gang = append(gang, ledger.Assignment{Worker: l.Worker, Accelerators: l.Accelerators})
+	}
+	return gang
+}
+
+// ownPlaces returns the slots' own places if nobody holds them.
+func (d *plan) ownPlaces(slots []int) []ledger.Assignment {
+	gang := d.seats(slots)
+	for _, a := range gang {
+		t := d.view.byID[a.Worker]
+		if t == nil || t.free&a.Accelerators != a.Accelerators {
+			return nil
+		}
+	}
+	return gang
+}
+
+// search finds room for a job that fills no slot.
+func (d *plan) search(j *ledger.Job) []ledger.Assignment {
+	s := shapeOf(j.Spec)
+	passes := d.mayPass(j)
+	if d.blocked && d.policy.NoBackfill && j.Class != ledger.ClassUrgent {
+		return nil
+	}
+	failed := map[platform.WorkerID]bool{}
+	for _, id := range j.FailedOn {
+		failed[id] = true
+	}
+	narrow := func(allow usable) usable {
+		return func(t *site) platform.AcceleratorSet {
+			if failed[t.id] {
+				return 0
+			}
+			set := allow(t)
+			if !passes {
+				set &^= t.kept
+			}
+			if set == allWhole(t) && !d.mayBreak(j) {
+				return 0
+			}
+			return set
+		}
+	}
+	if gang := d.view.pick(s, narrow(open)); gang != nil {
+		return gang
+	}
+	return d.view.pick(s, narrow(loose))
+}
+
+// allWhole returns all accelerators of a worker.
+func allWhole(t *site) platform.AcceleratorSet {
+	return platform.AcceleratorSet(1)<<t.size - 1
+}
+
+// mayPass tells whether the job may use what is kept for the head of the queue.
+func (d *plan) mayPass(j *ledger.Job) bool {
+	if !d.blocked || j.Class == ledger.ClassUrgent {
+		return true
+	}
+	return !d.now.Add(d.runTime(j)).After(d.shadow)
+}
+
+// maxPatience bounds how long a small job waits for a hole before it breaks
+// into an empty worker, as a share of its own run time.
+const maxPatience = 0.5
+
+// mayBreak tells whether the job may break into an empty worker. While a gang
+// that needs whole workers waits, a small job first waits for a hole, longer the
+// more fragmentation weighs against completion.
+func (d *plan) mayBreak(j *ledger.Job) bool {
+	if d.policy.NoPatience || j.Class == ledger.ClassUrgent || !j.Small() || !d.large {
+		return true
+	}
+	sharing := d.state.Bundle().Sharing
+	weight := sharing.FragmentationWeight / (sharing.FragmentationWeight + sharing.CompletionWeight)
+	patience := time.Duration(weight * maxPatience * float64(d.runTime(j)))
+	return d.now.Sub(j.Submitted) >= patience
+}
+
+// block makes the job the head of the queue: what is free now and what frees
+// first is kept for it, and others may use it only if they end before.
+func (d *plan) block(j *ledger.Job) {
+	d.blocked = true
+	gang, at := d.forecast(j)
+	d.shadow = at
+	d.view.keep(gang)
+}
