--- /dev/null
+++ b/internal/process/gang/gang.go
@@ -0,0 +1,432 @@
+package gang
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderpass/internal/process/ledger"
+	"corianderpass/pkg/platform"
+)
+
+const (
+	// callTimeout bounds one call to a worker.
+	callTimeout = 2 * time.Second
+	// parallelCalls bounds the calls of one gang to workers at a time.
+	parallelCalls = 32
+	// retryPause is the pause between two tries to acquire a lease that is taken.
+	retryPause = 50 * time.Millisecond
+	// lapseMargin is how long before its lease lapses a gang is stopped, so that
+	// all parts end before one of them is ended by its worker.
+	lapseMargin = LeaseLife / 3
+	// watchEvery is the pause between two looks at a running gang.
+	watchEvery = 100 * time.Millisecond
+	// awayAfter is how many failed calls in a row make a worker count as away.
+	awayAfter = 3
+	// proposeTimeout bounds the wait for a verdict.
+	proposeTimeout = 5 * time.Second
+)
+
+// gang drives one job under one epoch, from its leases to its end.
+type gang struct {
+	driver *Driver
+	job    ledger.Job
+	// adopted gangs were started by another driver: a lease under which nothing
+	// runs has lapsed in between.
+	adopted bool
+
+	mu sync.Mutex
+	// reports has the newest word on each task.
+	reports []platform.TaskReport
+	// validUntil is when each lease lapses at the earliest, by the own clock.
+	validUntil []time.Time
+	// stop is closed when the ledger wants the gang to stop.
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+func newGang(d *Driver, j ledger.Job) *gang {
+	return &gang{
+		driver:     d,
+		job:        j,
+		reports:    make([]platform.TaskReport, len(j.Assignments)),
+		validUntil: make([]time.Time, len(j.Assignments)),
+		stop:       make(chan struct{}),
+	}
+}
+
+// askStop makes the gang stop. It may be called many times.
+func (g *gang) askStop() { g.stopOnce.Do(func() { close(g.stop) }) }
+
+func (g *gang) stopping() bool {
+	select {
+	case <-g.stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// run drives the gang until it holds nothing any more or the context ends.
+func (g *gang) run(ctx context.Context) {
+	switch g.job.Phase {
+	case ledger.PhaseReserved:
+		g.begin(ctx)
+	case ledger.PhaseRunning:
+		g.adopt(ctx)
+	case ledger.PhaseStopping:
+		g.finishStopping(ctx)
+	}
+}
+
+// begin takes every lease, commits, and starts the tasks.
+func (g *gang) begin(ctx context.Context) {
+	away, err := g.acquireAll(ctx)
+	if err != nil {
+		g.abort(ctx, err, away)
+		return
+	}
+	if err := g.commit(ctx); err != nil {
+		g.abort(ctx, err, nil)
+		return
+	}
+	err = g.each(ctx, func(ctx context.Context, task int, a ledger.Assignment) error {
+		t := platform.Task{Command: g.job.Command, Resume: g.job.Progress}
+		return g.driver.workers.Start(ctx, a.Worker, g.job.LeaseID(task), g.job.Epoch, t)
+	})
+	if err != nil {
+		g.halt(ctx, fmt.Sprintf("start: %v", err), g.awayOf(err))
+		return
+	}
+	g.watch(ctx)
+}
+
+// commit records that every lease is held. While the fate of the record is
+// unknown it is repeated, since tasks that started without it, or a record
+// without tasks, would leave the gang in two states.
+func (g *gang) commit(ctx context.Context) error {
+	for {
+		err := g.propose(ctx, ledger.Record{Commit: &ledger.Commit{Job: g.job.ID, Epoch: g.job.Epoch}})
+		if err == nil || g.committed(err) {
+			g.job.Phase = ledger.PhaseRunning
+			g.job.Ran = true
+			return nil
+		}
+		if isVoid(err) || !pause(ctx, retryPause) {
+			return err
+		}
+	}
+}
+
+// committed tells whether a repeated commit is void because an earlier one of
+// unknown fate took effect.
+func (g *gang) committed(err error) bool {
+	return isVoid(err) && g.driver.isRunning(g.job.ID, g.job.Epoch)
+}
+
+// adopt takes the running leases over under the own epoch.
+func (g *gang) adopt(ctx context.Context) {
+	away, err := g.acquireAll(ctx)
+	if err != nil {
+		g.halt(ctx, fmt.Sprintf("take over: %v", err), away)
+		return
+	}
+	g.adopted = true
+	g.watch(ctx)
+}
+
+// acquireAll takes every lease. It waits while others still hold the
+// accelerators, for at most the reclaim bound.
+func (g *gang) acquireAll(ctx context.Context) ([]platform.WorkerID, error) {
+	ctx, cancel := context.WithTimeout(ctx, g.driver.reclaimBound())
+	defer cancel()
+	err := g.each(ctx, g.acquire)
+	return g.awayOf(err), err
+}
+
+func (g *gang) acquire(ctx context.Context, task int, a ledger.Assignment) error {
+	lease := platform.Lease{
+		ID: g.job.LeaseID(task), Epoch: g.job.Epoch, Life: LeaseLife,
+		Claim: platform.Claim{Accelerators: a.Accelerators, Cores: g.job.Cores, Memory: g.job.Memory},
+	}
+	failures := 0
+	for {
+		if g.stopping() {
+			return errors.New("gang: asked to stop")
+		}
+		asked := time.Now()
+		err := g.call(ctx, func(ctx context.Context) error { return g.driver.workers.Acquire(ctx, a.Worker, lease) })
+		switch {
+		case err == nil:
+			g.hold(task, a, asked)
+			return nil
+		case errors.Is(err, platform.ErrFenced):
+			return fmt.Errorf("gang: acquire on %s: %w", a.Worker, err)
+		case !errors.Is(err, platform.ErrTaken):
+			failures++
+		}
+		if failures >= awayAfter {
+			return &awayError{worker: a.Worker, cause: err}
+		}
+		if !pause(ctx, retryPause) {
+			return fmt.Errorf("gang: acquire on %s: %w", a.Worker, err)
+		}
+	}
+}
+
+// awayError tells that a worker did not answer.
+type awayError struct {
+	worker platform.WorkerID
+	cause  error
+}
+
+func (e *awayError) Error() string {
+	return fmt.Sprintf("gang: worker %s is away: %v", e.worker, e.cause)
+}
+
+func (e *awayError) Unwrap() error { return e.cause }
+
+func (g *gang) awayOf(err error) []platform.WorkerID {
+	var away *awayError
+	if errors.As(err, &away) {
+		return []platform.WorkerID{away.worker}
+	}
+	return nil
+}
+
+// hold notes a taken lease and begins to renew it.
+func (g *gang) hold(task int, a ledger.Assignment, asked time.Time) {
+	g.mu.Lock()
+	g.validUntil[task] = asked.Add(LeaseLife)
+	g.mu.Unlock()
+	g.driver.renewer.add(a.Worker, g.job.LeaseID(task), &renewal{
+		epoch: g.job.Epoch,
+		report: func(asked time.Time, r platform.TaskReport) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.reports[task] = r
+			if r.State != platform.TaskGone {
+				g.validUntil[task] = asked.Add(LeaseLife)
+			}
+		},
+	})
+}
+
+// verdict is what the reports say of the gang.
+type verdict struct {
+	succeeded, failed, gone, lapsing bool
+	task                             int
+	text                             string
+}
+
+func (g *gang) judge(now time.Time) verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	done := 0
+	for task, r := range g.reports {
+		switch {
+		case r.State == platform.TaskFailed:
+			return verdict{failed: true, task: task, text: r.Error}
+		case r.State == platform.TaskGone, r.State == platform.TaskHeld && g.adopted:
+			return verdict{gone: true, task: task}
+		case now.After(g.validUntil[task].Add(-lapseMargin)):
+			return verdict{lapsing: true, task: task}
+		case r.State == platform.TaskSucceeded:
+			done++
+		}
+	}
+	return verdict{succeeded: done == len(g.reports)}
+}
+
+// watch follows a running gang until it ends or must be stopped.
+func (g *gang) watch(ctx context.Context) {
+	started := time.Now()
+	for {
+		v := g.judge(time.Now())
+		worker := g.job.Assignments[v.task].Worker
+		switch {
+		case v.succeeded:
+			g.finish(ctx, ledger.Finish{RanTime: g.ranTime(started)})
+			return
+		case v.failed:
+			g.finish(ctx, ledger.Finish{Failed: true, Error: v.text, Worker: worker})
+			return
+		case v.gone:
+			g.halt(ctx, fmt.Sprintf("lease on %s is gone", worker), nil)
+			return
+		case v.lapsing:
+			g.halt(ctx, fmt.Sprintf("worker %s does not answer", worker), []platform.WorkerID{worker})
+			return
+		case g.stopping():
+			g.finishStopping(ctx)
+			return
+		}
+		if !pause(ctx, watchEvery) {
+			return
+		}
+	}
+}
+
+// ranTime is how long the job ran in all.
+func (g *gang) ranTime(started time.Time) time.Duration {
+	begun := started
+	if g.job.Phase == ledger.PhaseRunning && !g.job.Started.IsZero() {
+		begun = g.job.Started
+	}
+	return g.job.Progress + time.Since(begun)
+}
+
+// finish gives the leases back and records the end.
+func (g *gang) finish(ctx context.Context, f ledger.Finish) {
+	g.releaseAll(ctx)
+	f.Job = g.job.ID
+	f.Epoch = g.job.Epoch
+	g.settle(ctx, ledger.Record{Finish: &f})
+}
+
+// finishStopping lets a running gang keep its progress, then stops it.
+func (g *gang) finishStopping(ctx context.Context) {
+	if !g.job.Ran && g.job.Phase != ledger.PhaseRunning {
+		g.abort(ctx, errors.New("gang: asked to stop"), nil)
+		return
+	}
+	g.halt(ctx, "asked to stop", nil)
+}
+
+// halt stops every part and records what was kept.
+func (g *gang) halt(ctx context.Context, reason string, away []platform.WorkerID) {
+	progress := g.checkpoint(ctx)
+	g.releaseAll(ctx)
+	g.settle(ctx, ledger.Record{Stopped: &ledger.Stopped{
+		Job: g.job.ID, Epoch: g.job.Epoch, Progress: progress, Reason: reason, Away: away,
+	}})
+}
+
+// checkpoint asks every task to keep its progress within the grace and returns
+// what all of them have kept.
+func (g *gang) checkpoint(ctx context.Context) time.Duration {
+	grace, cancel := context.WithTimeout(ctx, g.driver.grace())
+	defer cancel()
+	kept := make([]time.Duration, len(g.job.Assignments))
+	err := g.each(grace, func(ctx context.Context, task int, a ledger.Assignment) error {
+		progress, err := g.driver.workers.Checkpoint(ctx, a.Worker, g.job.LeaseID(task), g.job.Epoch)
+		kept[task] = progress
+		return err
+	})
+	if err != nil {
+		return g.job.Progress
+	}
+	least := kept[0]
+	for _, k := range kept {
+		least = min(least, k)
+	}
+	return max(g.job.Progress, least)
+}
+
+// abort gives back what a gang that never ran holds.
+func (g *gang) abort(ctx context.Context, cause error, away []platform.WorkerID) {
+	g.releaseAll(ctx)
+	g.settle(ctx, ledger.Record{Abort: &ledger.Abort{
+		Job: g.job.ID, Epoch: g.job.Epoch, Reason: cause.Error(), Away: away,
+	}})
+}
+
+// releaseAll stops every part. A worker that does not answer ends its part when
+// the lease lapses, so the call returns only when every part is stopped or has
+// lapsed by the own clock.
+func (g *gang) releaseAll(ctx context.Context) {
+	g.stopRenewing()
+	_ = g.each(ctx, func(ctx context.Context, task int, a ledger.Assignment) error {
+		for {
+			err := g.call(ctx, func(ctx context.Context) error {
+				return g.driver.workers.Release(ctx, a.Worker, g.job.LeaseID(task), g.job.Epoch)
+			})
+			if err == nil || errors.Is(err, platform.ErrFenced) || g.lapsed(task) {
+				return nil
+			}
+			if !pause(ctx, retryPause) {
+				return nil
+			}
+		}
+	})
+}
+
+func (g *gang) stopRenewing() {
+	for task, a := range g.job.Assignments {
+		g.driver.renewer.remove(a.Worker, g.job.LeaseID(task), g.job.Epoch)
+	}
+}
+
+// lapsed tells whether the task's lease has ended on its worker for certain. One
+// that this process never held may have been taken by a driver before it.
+func (g *gang) lapsed(task int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	until := g.validUntil[task]
+	if until.IsZero() {
+		until = g.driver.began(g.job.ID, g.job.Epoch).Add(LeaseLife)
+	}
+	return time.Now().After(until)
+}
+
+// settle records the end of the gang under this epoch, however long the log is
+// down: until then the gang keeps its place in the ledger.
+func (g *gang) settle(ctx context.Context, r ledger.Record) {
+	for ctx.Err() == nil {
+		err := g.propose(ctx, r)
+		if err == nil {
+			return
+		}
+		if isVoid(err) {
+			return
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (g *gang) propose(ctx context.Context, r ledger.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	return g.driver.propose(ctx, r)
+}
+
+// each calls f for every task, a bounded number at a time, and returns the first error.
+func (g *gang) each(ctx context.Context, f func(ctx context.Context, task int, a ledger.Assignment) error) error {
+	room := make(chan struct{}, parallelCalls)
+	ended := make(chan error, len(g.job.Assignments))
+	for task, a := range g.job.Assignments {
+		room <- struct{}{}
+		go func() {
+			ended <- f(ctx, task, a)
+			<-room
+		}()
+	}
+	var first error
+	for range g.job.Assignments {
+		if err := <-ended; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+func (g *gang) call(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
+// pause waits; it returns false if the context ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
