--- /dev/null
+++ b/internal/request/dispatch/table.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corianderpass/internal/process/incarnation"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/version/bundle"
+)
+
+// Run hands an order to the minion and returns what came of it.
+type Run func(ctx context.Context, o Order) Reply
+
+// Table judges the orders of one agent. It is safe for concurrent use.
+type Table struct {
+	self incarnation.ID
+	run  Run
+
+	mu sync.Mutex
+	// slots is the minion's number of slots, 0 without a minion.
+	slots int
+	// busy counts started orders that have not ended; never above slots at a start.
+	busy    int
+	leaving bool
+	service bundle.ServiceName
+	// orders has every order that started or was revoked, until it is forgotten.
+	orders map[ledger.DispatchID]*order
+	// recent and kept have the orders to be forgotten, oldest first.
+	recent, kept endedList
+	// idle is closed when nothing is running; nil while nobody waits for it.
+	idle chan struct{}
+}
+
+// order is one order that started, or that was revoked before.
+type order struct {
+	// done is closed when the reply is final.
+	done  chan struct{}
+	reply Reply
+}
+
+const (
+	// recentMemory is how long the reply of an ordinary order can be asked for.
+	recentMemory = 15 * time.Second
+	// keptMemory is how long revocations and the replies of claimed orders are
+	// remembered. It is far above the time that an order can be under way.
+	keptMemory = 10 * time.Minute
+	// keptBytes bounds the kept answers of claimed orders.
+	keptBytes = 32 << 20
+)
+
+// NewTable returns a table without a minion.
+func NewTable(self incarnation.ID, run Run) *Table {
+	return &Table{self: self, run: run, orders: map[ledger.DispatchID]*order{}}
+}
+
+// SetMinion tells what the minion serves and how many slots it has. No slots
+// mean that there is none.
+func (t *Table) SetMinion(service bundle.ServiceName, slots int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service = service
+	t.slots = slots
+}
+
+// Leave makes the table refuse all new orders, or accept them again.
+func (t *Table) Leave(leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = leaving
+}
+
+// Load returns the slots, the busy ones, and whether the table is leaving.
+func (t *Table) Load() (slots, busy int, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.slots, t.busy, t.leaving
+}
+
+// Run runs the order, or refuses it. The order goes on if the context ends, as
+// the minion cannot be made to forget it; its reply is kept then.
+func (t *Table) Run(ctx context.Context, o Order) Reply {
+	judged, fresh := t.begin(o)
+	if fresh {
+		go func() {
+			within, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.Within)
+			defer cancel()
+			t.end(o, judged, t.run(within, o))
+		}()
+	}
+	<-judged.done
+	return judged.reply
+}
+
+// begin judges the order. A fresh one must be run; any other has its reply, or
+// gets it from the first order with the same ID.
+func (t *Table) begin(o Order) (judged *order, fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(time.Now())
+	if before := t.orders[o.ID]; before != nil {
+		return before, false
+	}
+	if reason := t.refuse(o); reason != "" {
+		return &order{done: closed(), reply: t.refusal(reason)}, false
+	}
+	t.busy++
+	judged = &order{done: make(chan struct{})}
+	t.orders[o.ID] = judged
+	return judged, true
+}
+
+func (t *Table) refuse(o Order) Refusal {
+	switch {
+	case o.Agent != t.self:
+		return RefusedStranger
+	case t.leaving:
+		return RefusedLeaving
+	case t.slots > 0 && o.Service != t.service:
+		return RefusedService
+	case t.slots == 0:
+		return RefusedUnreachable
+	case t.busy >= t.slots:
+		return RefusedFull
+	}
+	return ""
+}
+
+func (t *Table) refusal(reason Refusal) Reply {
+	return Reply{
+		Answer:  ledger.Answer{Fate: ledger.FateNotRun, Error: "dispatch: refused: " + string(reason)},
+		Refusal: reason, Slots: t.slots, Busy: t.busy,
+	}
+}
+
+// end makes the reply final.
+func (t *Table) end(o Order, started *order, reply Reply) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.busy--
+	reply.Slots = t.slots
+	reply.Busy = t.busy
+	started.reply = reply
+	close(started.done)
+	list := &t.recent
+	if o.Keep {
+		list = &t.kept
+	}
+	list.add(endedOrder{id: o.ID, at: time.Now(), bytes: len(reply.Body)})
+	if t.busy == 0 && t.idle != nil {
+		close(t.idle)
+		t.idle = nil
+	}
+}
+
+// forget drops old orders. The lock must be held.
+func (t *Table) forget(now time.Time) {
+	for t.recent.due(now, recentMemory) {
+		delete(t.orders, t.recent.remove())
+	}
+	for t.kept.due(now, keptMemory) {
+		delete(t.orders, t.kept.remove())
+	}
+	for t.kept.bytes > keptBytes {
+		t.shorten(t.kept.remove())
+	}
+}
+
+// shorten drops the body of a kept reply, but not the knowledge that it ran.
+func (t *Table) shorten(id ledger.DispatchID) {
+	short := *t.orders[id]
+	short.reply.Body = nil
+	short.reply.Error = "dispatch: the answer is no longer kept"
+	t.orders[id] = &short
+	t.kept.add(endedOrder{id: id, at: time.Now()})
+}
+
+// Revoke makes sure that the order does not start later, or waits for the reply
+// of one that has started. A fate of Unknown means that it still runs.
+func (t *Table) Revoke(ctx context.Context, r Revocation) Reply {
+	known := t.bury(r)
+	wait := time.NewTimer(r.Wait)
+	defer wait.Stop()
+	select {
+	case <-known.done:
+		return known.reply
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return Reply{Answer: ledger.Answer{Fate: ledger.FateUnknown, Error: "dispatch: still running"}}
+}
+
+// bury returns the started order, or a tombstone in its place.
+func (t *Table) bury(r Revocation) *order {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.forget(time.Now())
+	if known := t.orders[r.ID]; known != nil {
+		return known
+	}
+	if r.Agent != t.self {
+		// The order was for an earlier incarnation, whose deeds are not known here.
+		return &order{done: closed(), reply: Reply{Answer: ledger.Answer{
+			Fate: ledger.FateUnknown, Error: "dispatch: the agent was replaced",
+		}}}
+	}
+	tomb := &order{done: closed(), reply: t.refusal(RefusedRevoked)}
+	t.orders[r.ID] = tomb
+	t.kept.add(endedOrder{id: r.ID, at: time.Now()})
+	return tomb
+}
+
+func closed() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// Idle returns a channel that is closed once nothing is running.
+func (t *Table) Idle() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.busy == 0 {
+		return closed()
+	}
+	if t.idle == nil {
+		t.idle = make(chan struct{})
+	}
+	return t.idle
+}
