--- /dev/null
+++ b/internal/process/agent/agent.go
@@ -0,0 +1,278 @@
+// Package agent is the small process beside a minion. It announces the minion to
+// a few entries, judges which requests start, hands them to the minion, and
+// leaves without cutting any.
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/negroni/v3"
+
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/incarnation"
+	"corianderpass/internal/process/membership"
+	"corianderpass/internal/request/dispatch"
+	"corianderpass/internal/version/bundle"
+)
+
+const (
+	// heartbeatEvery is the time between two heartbeats to one entry.
+	heartbeatEvery = time.Second
+	// heartbeatCopies is the number of entries that hear each heartbeat.
+	heartbeatCopies = 2
+	// heartbeatTimeout bounds one heartbeat.
+	heartbeatTimeout = time.Second
+)
+
+// Agent is the process. Use New.
+type Agent struct {
+	settings Settings
+	logger   hclog.Logger
+	member   membership.Member
+	table    *dispatch.Table
+	minion   *minion
+	pool     *link.Pool
+	entries  membership.Directory
+	metrics  *metrics.Set
+
+	sequence atomic.Uint64
+	version  atomic.Uint64
+	leaving  atomic.Bool
+	// wake asks for a heartbeat before its time.
+	wake chan struct{}
+}
+
+// New returns an agent that does nothing before Run.
+func New(s Settings, logger hclog.Logger, dial link.Dialer) *Agent {
+	self := incarnation.New(s.Name, time.Now())
+	a := &Agent{
+		settings: s,
+		logger:   logger.With("incarnation", string(self)),
+		member: membership.Member{
+			ID: self, Role: membership.RoleAgent, Address: s.LinkAddress,
+			Region: s.Region, FailureDomain: s.FailureDomain,
+		},
+		minion:  &minion{},
+		pool:    link.NewPool(dial),
+		metrics: metrics.NewSet(),
+		wake:    make(chan struct{}, 1),
+	}
+	a.table = dispatch.NewTable(self, a.minion.run)
+	a.registerMetrics()
+	return a
+}
+
+// Incarnation returns the agent's incarnation.
+func (a *Agent) Incarnation() incarnation.ID { return a.member.ID }
+
+// Announce takes a minion's announcement in.
+func (a *Agent) Announce(n Announcement) {
+	a.minion.announce(time.Now(), n)
+	a.refreshTable()
+	a.hurry()
+}
+
+// refreshTable tells the table what the minion is now.
+func (a *Agent) refreshTable() {
+	n, present := a.minion.present(time.Now())
+	if !present {
+		a.table.SetMinion(n.Service, 0)
+		return
+	}
+	a.table.SetMinion(n.Service, n.Slots)
+	a.table.Leave(n.Leaving || a.leaving.Load())
+}
+
+// hurry asks for a heartbeat now.
+func (a *Agent) hurry() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Table returns the methods that the agent answers.
+func (a *Agent) Table() link.Table {
+	return link.Table{
+		dispatch.MethodRun: link.Handle(func(ctx context.Context, o dispatch.Order) (dispatch.Reply, error) {
+			reply := a.table.Run(ctx, o)
+			reply.Version = bundle.Version(a.version.Load())
+			a.count(o, reply)
+			return reply, nil
+		}),
+		dispatch.MethodRevoke: link.Handle(func(ctx context.Context, r dispatch.Revocation) (dispatch.Reply, error) {
+			return a.table.Revoke(ctx, r), nil
+		}),
+	}
+}
+
+// Run serves until the context ends, then leaves: it refuses new requests, tells
+// the entries, and waits for those that run.
+func (a *Agent) Run(ctx context.Context) error {
+	linkListener, err := net.Listen("tcp", string(a.settings.LinkAddress))
+	if err != nil {
+		return fmt.Errorf("agent: listen for entries: %w", err)
+	}
+	localListener, err := net.Listen("tcp", a.settings.LocalAddress)
+	if err != nil {
+		return fmt.Errorf("agent: listen for the minion: %w", err)
+	}
+	// What serves outlives ctx until the requests under way have ended.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	linkEnded := link.NewServer(a.Table()).Serve(serving, linkListener)
+	local := &http.Server{Handler: a.localHandler(), ReadHeaderTimeout: 5 * time.Second}
+	localEnded := make(chan error, 1)
+	go func() { localEnded <- local.Serve(localListener) }()
+	beatsEnded := a.StartHeartbeats(serving)
+	a.logger.Info("agent is up", "link", a.settings.LinkAddress, "local", a.settings.LocalAddress)
+	select {
+	case <-ctx.Done():
+	case err := <-linkEnded:
+		return fmt.Errorf("agent: link ended: %w", err)
+	case err := <-localEnded:
+		return fmt.Errorf("agent: local server ended: %w", err)
+	}
+	a.Leave(serving)
+	_ = local.Close()
+	stop()
+	<-linkEnded
+	<-beatsEnded
+	a.pool.Close()
+	a.logger.Info("agent has left")
+	return nil
+}
+
+// Leave refuses new requests, tells the entries, and returns when nothing runs
+// any more or the drain time is over.
+func (a *Agent) Leave(ctx context.Context) {
+	a.leaving.Store(true)
+	a.table.Leave(true)
+	a.beat(ctx)
+	drain := time.NewTimer(a.settings.DrainTime.Std())
+	defer drain.Stop()
+	select {
+	case <-a.table.Idle():
+	case <-drain.C:
+		a.logger.Warn("drain time is over while requests still run")
+	case <-ctx.Done():
+	}
+}
+
+// StartHeartbeats announces the agent until the context ends.
+func (a *Agent) StartHeartbeats(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick := time.NewTicker(heartbeatEvery)
+		defer tick.Stop()
+		for {
+			a.refreshTable()
+			a.beat(ctx)
+			select {
+			case <-ctx.Done():
+				ended <- nil
+				return
+			case <-a.wake:
+			case <-tick.C:
+			}
+		}
+	}()
+	return ended
+}
+
+// beat sends one heartbeat to the entries chosen for this agent.
+func (a *Agent) beat(ctx context.Context) {
+	slots, busy, leaving := a.table.Load()
+	member := a.member
+	n, _ := a.minion.present(time.Now())
+	member.Service = n.Service
+	beat := membership.Heartbeat{Member: member, Health: membership.Health{
+		Sequence: a.sequence.Add(1), Version: bundle.Version(a.version.Load()),
+		Leaving: leaving, Slots: slots, Busy: busy,
+	}}
+	var group sync.WaitGroup
+	for _, address := range a.targets() {
+		group.Go(func() { a.send(ctx, address, beat) })
+	}
+	group.Wait()
+	a.entries.Sweep(time.Now())
+}
+
+// targets returns the chosen living entries, or those of the settings while
+// none is known.
+func (a *Agent) targets() []link.Address {
+	var addresses []link.Address
+	for _, e := range membership.Rank(string(a.member.ID), a.entries.Entries(a.settings.Region)) {
+		if len(addresses) < heartbeatCopies {
+			addresses = append(addresses, e.Address)
+		}
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, e := range a.settings.Entries {
+		addresses = append(addresses, link.Address(e))
+	}
+	return addresses
+}
+
+func (a *Agent) send(ctx context.Context, address link.Address, beat membership.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	reply, err := link.Call[membership.HeartbeatReply](ctx, a.pool, address, membership.MethodHeartbeat, beat)
+	if err != nil {
+		a.logger.Debug("heartbeat failed", "entry", address, "error", err)
+		return
+	}
+	a.entries.Hear(time.Now(), reply.Entries...)
+	a.raise(reply.Version)
+}
+
+// raise moves the version in force up, never down.
+func (a *Agent) raise(v bundle.Version) {
+	for {
+		known := a.version.Load()
+		if uint64(v) <= known || a.version.CompareAndSwap(known, uint64(v)) {
+			return
+		}
+	}
+}
+
+// localHandler serves the minion, metrics and health.
+func (a *Agent) localHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/minion", a.putMinion)
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", a.getReady)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		a.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	n := negroni.New(negroni.NewRecovery())
+	n.UseHandler(mux)
+	return n
+}
+
+func (a *Agent) putMinion(w http.ResponseWriter, r *http.Request) {
+	n, err := decodeAnnouncement(http.MaxBytesReader(w, r.Body, 1<<16))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.Announce(n)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *Agent) getReady(w http.ResponseWriter, _ *http.Request) {
+	if slots, _, leaving := a.table.Load(); slots == 0 || leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/process/agent/metrics.go
@@ -0,0 +1,26 @@
+package agent
+
+import (
+	"fmt"
+
+	"corianderpass/internal/request/dispatch"
+)
+
+// registerMetrics declares the gauges.
+func (a *Agent) registerMetrics() {
+	a.metrics.NewGauge("corianderpass_agent_slots", func() float64 {
+		slots, _, _ := a.table.Load()
+		return float64(slots)
+	})
+	a.metrics.NewGauge("corianderpass_agent_busy_slots", func() float64 {
+		_, busy, _ := a.table.Load()
+		return float64(busy)
+	})
+	a.metrics.NewGauge("corianderpass_bundle_version", func() float64 { return float64(a.version.Load()) })
+}
+
+// count counts an order by organisation and fate.
+func (a *Agent) count(o dispatch.Order, reply dispatch.Reply) {
+	name := fmt.Sprintf(`corianderpass_agent_orders_total{organisation=%q,fate=%q,refusal=%q}`, o.Organisation, reply.Fate, reply.Refusal)
+	a.metrics.GetOrCreateCounter(name).Inc()
+}
--- /dev/null
+++ b/internal/process/command/providers.go
@@ -0,0 +1,11 @@
+package command
+
+import (
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/connection/remote"
+	"corianderpass/internal/process/entry"
+)
+
+func providePlatform(s entry.Settings) *remote.Client { return remote.NewClient(s.PlatformAddress) }
+
+func provideDialer() link.Dialer { return link.DialTCP }
--- /dev/null
+++ b/internal/process/entry/callers.go
@@ -0,0 +1,14 @@
+package entry
+
+import (
+	"corianderpass/internal/connection/caller"
+	"corianderpass/internal/version/bundle"
+)
+
+var _ caller.Service = (*Entry)(nil)
+
+// InForce returns the bundle in force, nil before the first.
+func (e *Entry) InForce() *bundle.InForce { return e.register.Current() }
+
+// ReaderKeys returns the operators that may read while no bundle is in force.
+func (e *Entry) ReaderKeys() []bundle.Operator { return e.settings.RootOperators }
--- /dev/null
+++ b/internal/process/entry/entry.go
@@ -0,0 +1,245 @@
+// Package entry is the thin process between callers and minions. It serves
+// requests and jobs, folds its region's ledger and the bundle stream, proposes
+// placements and drives the gangs that the ledger gives to it. Entries keep
+// nothing: any of them can be replaced at any time.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+
+	"corianderpass/internal/connection/caller"
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/gang"
+	"corianderpass/internal/process/incarnation"
+	"corianderpass/internal/process/journal"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/process/membership"
+	"corianderpass/internal/process/placement"
+	"corianderpass/internal/request/gate"
+	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/platform"
+)
+
+// BundleStream is the stream in which bundles are drafted, approved and rolled.
+const BundleStream platform.Stream = "Bundle"
+
+// LedgerStream returns the stream of a region's ledger.
+func LedgerStream(region platform.Region) platform.Stream {
+	return platform.Stream("Ledger/" + string(region))
+}
+
+// Entry is the process. Use New.
+type Entry struct {
+	settings Settings
+	logger   hclog.Logger
+	member   membership.Member
+	workers  platform.Workers
+	pool     *link.Pool
+	metrics  *metrics.Set
+
+	// The parts below live as long as the process.
+	register  *bundle.Register
+	bundles   *journal.Journal[bundle.Record]
+	state     *ledger.State
+	ledger    *journal.Journal[ledger.Record]
+	directory membership.Directory
+	gate      *gate.Gate
+	retries   *gate.RetryBudget
+	driver    *gang.Driver
+	policy    placement.Policy
+	scheduler scheduler
+
+	began     time.Time
+	sequence  atomic.Uint64
+	dispatch  atomic.Uint64
+	leaving   atomic.Bool
+	shortfall atomic.Int64
+
+	// flights are the claimed requests that this process runs.
+	flightsMu sync.Mutex
+	flights   map[ledger.ClaimKey]*flight
+	// background counts goroutines that outlive their caller.
+	background sync.WaitGroup
+	// life ends when the process does.
+	life context.Context
+}
+
+// New returns an entry that does nothing before Run or Start.
+func New(s Settings, logger hclog.Logger, log platform.Log, workers platform.Workers, dial link.Dialer) *Entry {
+	self := incarnation.New(s.Name, time.Now())
+	e := &Entry{
+		settings: s,
+		logger:   logger.With("incarnation", string(self)),
+		member: membership.Member{
+			ID: self, Role: membership.RoleEntry, Address: s.LinkAddress,
+			Region: s.Region, FailureDomain: s.FailureDomain,
+		},
+		workers:  workers,
+		pool:     link.NewPool(dial),
+		metrics:  metrics.NewSet(),
+		register: &bundle.Register{},
+		state:    ledger.NewState(s.Region),
+		retries:  gate.NewRetryBudget(),
+		gate:     gate.New(s.Region, 1, 0, uint64(time.Now().UnixNano())),
+		began:    time.Now(),
+		flights:  map[ledger.ClaimKey]*flight{},
+	}
+	options := journal.Options{SnapshotAge: s.SnapshotAge.Std()}
+	e.bundles = journal.New(log, BundleStream, self, journal.Machine[bundle.Record](e.register), options)
+	e.ledger = journal.New(log, LedgerStream(s.Region), self, journal.Machine[ledger.Record](e.state), options)
+	e.driver = gang.NewDriver(workers, e.propose, e.isRunning)
+	e.scheduler = newScheduler()
+	e.registerMetrics()
+	return e
+}
+
+// Incarnation returns the entry's incarnation.
+func (e *Entry) Incarnation() incarnation.ID { return e.member.ID }
+
+// Start begins all that goes on without callers. The channel yields one error
+// when all of it has ended after the context.
+func (e *Entry) Start(ctx context.Context) <-chan error {
+	e.life = ctx
+	parts := []<-chan error{
+		e.bundles.Start(ctx),
+		e.ledger.Start(ctx),
+		every(ctx, exchangeEvery, e.exchange),
+		every(ctx, seedEvery, e.seed),
+		every(ctx, scheduleEvery, e.schedule),
+		every(ctx, observeEvery, e.observe),
+		every(ctx, sweepEvery, e.sweepClaims),
+	}
+	ended := make(chan error, 1)
+	go func() {
+		var first error
+		for _, p := range parts {
+			if err := <-p; err != nil && first == nil {
+				first = err
+			}
+		}
+		e.background.Wait()
+		e.pool.Close()
+		ended <- first
+	}()
+	return ended
+}
+
+// every calls f at once and then again and again until the context ends.
+func every(ctx context.Context, pause time.Duration, f func(context.Context)) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick := time.NewTicker(pause)
+		defer tick.Stop()
+		for {
+			f(ctx)
+			select {
+			case <-ctx.Done():
+				ended <- nil
+				return
+			case <-tick.C:
+			}
+		}
+	}()
+	return ended
+}
+
+// Run serves until the context ends, then leaves without cutting a request.
+func (e *Entry) Run(ctx context.Context) error {
+	linkListener, err := net.Listen("tcp", string(e.settings.LinkAddress))
+	if err != nil {
+		return fmt.Errorf("entry: listen for processes: %w", err)
+	}
+	callers, err := net.Listen("tcp", e.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("entry: listen for callers: %w", err)
+	}
+	admin, err := net.Listen("tcp", e.settings.AdminAddress)
+	if err != nil {
+		return fmt.Errorf("entry: listen for the administrator: %w", err)
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := e.Start(serving)
+	linkEnded := link.NewServer(e.Table()).Serve(serving, linkListener)
+	callerServer := &http.Server{Handler: caller.NewHandler(e, e.logger, e.metrics), ReadHeaderTimeout: 5 * time.Second}
+	adminServer := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
+	serversEnded := make(chan error, 2)
+	go func() { serversEnded <- callerServer.Serve(callers) }()
+	go func() { serversEnded <- adminServer.Serve(admin) }()
+	e.logger.Info("entry is up", "callers", e.settings.CallerAddress, "link", e.settings.LinkAddress)
+	select {
+	case <-ctx.Done():
+	case err := <-linkEnded:
+		return fmt.Errorf("entry: link ended: %w", err)
+	case err := <-serversEnded:
+		return fmt.Errorf("entry: server ended: %w", err)
+	}
+	e.leave(serving, callerServer)
+	_ = adminServer.Close()
+	stop()
+	<-linkEnded
+	err = <-ended
+	e.logger.Info("entry has left")
+	return err
+}
+
+// leave lets the balancer and the other processes see that the entry goes, and
+// waits for the requests under way.
+func (e *Entry) leave(ctx context.Context, server *http.Server) {
+	e.Leave(ctx)
+	notice := time.NewTimer(e.settings.NoticeTime.Std())
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	drain, cancel := context.WithTimeout(ctx, e.settings.DrainTime.Std())
+	defer cancel()
+	if err := server.Shutdown(drain); err != nil {
+		e.logger.Warn("drain time is over while requests still run", "error", err)
+	}
+	e.background.Wait()
+}
+
+// Leave makes the entry unready and tells the others at once; it goes on to serve.
+func (e *Entry) Leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.exchange(ctx)
+}
+
+// isRunning tells whether the ledger has the job as running under the epoch.
+func (e *Entry) isRunning(id ledger.JobID, epoch platform.Epoch) bool {
+	running := false
+	e.ledger.Look(func(time.Time) {
+		j := e.state.Job(id)
+		running = j != nil && j.Epoch == epoch && j.Phase == ledger.PhaseRunning
+	})
+	return running
+}
+
+// Ready tells whether the entry should get callers, and the reason if not.
+func (e *Entry) Ready() (bool, string) {
+	switch {
+	case e.leaving.Load():
+		return false, "leaving"
+	case e.register.Current() == nil:
+		return false, "no bundle is known"
+	case !e.ledger.Known():
+		return false, "the ledger is not known yet"
+	}
+	return true, ""
+}
+
+// nextDispatch names a new try of a request.
+func (e *Entry) nextDispatch() ledger.DispatchID {
+	return ledger.DispatchID(fmt.Sprintf("%s/%d", e.member.ID, e.dispatch.Add(1)))
+}
--- /dev/null
+++ b/internal/process/entry/jobs.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/process/membership"
+	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/client"
+	"corianderpass/pkg/platform"
+)
+
+// methodJob does something with a job in its home region.
+const methodJob link.Method = "Caller.Job"
+
+// verb is what is done with a job.
+type verb string
+
+const (
+	verbSubmit verb = "Submit"
+	verbRead   verb = "Read"
+	verbList   verb = "List"
+	verbCancel verb = "Cancel"
+)
+
+// jobCall asks an entry of the home region to do something with a job.
+type jobCall struct {
+	Verb         verb
+	Organisation bundle.OrganisationName
+	ID           string     `json:",omitempty"`
+	Job          client.Job `json:",omitempty"`
+}
+
+// jobAnswer is what came of it.
+type jobAnswer struct {
+	Jobs  []client.JobStatus `json:",omitempty"`
+	Error *client.Error      `json:",omitempty"`
+}
+
+// SubmitJob enters a job, or attaches to the same job entered before.
+func (e *Entry) SubmitJob(ctx context.Context, o bundle.Organisation, j client.Job) (client.JobStatus, error) {
+	if j.ID == "" || strings.ContainsAny(j.ID, "/# \t\n") || len(j.ID) > 128 {
+		return client.JobStatus{}, refusal(client.CodeInvalid, 0, "ID must have 1 to 128 characters without spaces, slashes and number signs")
+	}
+	return first(e.jobDo(ctx, o, jobCall{Verb: verbSubmit, Organisation: o.Name, ID: j.ID, Job: j}))
+}
+
+// Job returns a job's status.
+func (e *Entry) Job(ctx context.Context, o bundle.Organisation, id string) (client.JobStatus, error) {
+	return first(e.jobDo(ctx, o, jobCall{Verb: verbRead, Organisation: o.Name, ID: id}))
+}
+
+// Jobs returns the organisation's jobs.
+func (e *Entry) Jobs(ctx context.Context, o bundle.Organisation) ([]client.JobStatus, error) {
+	return e.jobDo(ctx, o, jobCall{Verb: verbList, Organisation: o.Name})
+}
+
+// CancelJob cancels a job.
+func (e *Entry) CancelJob(ctx context.Context, o bundle.Organisation, id string) (client.JobStatus, error) {
+	return first(e.jobDo(ctx, o, jobCall{Verb: verbCancel, Organisation: o.Name, ID: id}))
+}
+
+func first(jobs []client.JobStatus, err error) (client.JobStatus, error) {
+	if err != nil {
+		return client.JobStatus{}, err
+	}
+	return jobs[0], nil
+}
+
+// jobDo does it here or in the home region.
+func (e *Entry) jobDo(ctx context.Context, o bundle.Organisation, q jobCall) ([]client.JobStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	if o.HomeRegion == e.settings.Region {
+		return e.jobHere(ctx, q)
+	}
+	sent := false
+	for _, m := range membership.Rank(q.ID, e.directory.Entries(o.HomeRegion)) {
+		answer, err := link.Call[jobAnswer](ctx, e.pool, m.Address, methodJob, q)
+		if err == nil && answer.Error != nil {
+			return nil, answer.Error
+		}
+		if err == nil {
+			return answer.Jobs, nil
+		}
+		sent = sent || !errors.Is(err, link.ErrNotSent)
+	}
+	if sent {
+		return nil, &client.Error{Code: client.CodeUnknownFate, Fate: client.FateUnknown, Message: "no answer from the home region; ask again with the same ID", RetryAfter: readyRetryAfter}
+	}
+	return nil, refusal(client.CodeNotReady, logRetryAfter, "no entry of the home region "+string(o.HomeRegion)+" can be reached")
+}
+
+func (e *Entry) answerJob(ctx context.Context, q jobCall) (jobAnswer, error) {
+	jobs, err := e.jobHere(ctx, q)
+	if err != nil {
+		return jobAnswer{Error: explain(err)}, nil
+	}
+	return jobAnswer{Jobs: jobs}, nil
+}
+
+func (e *Entry) jobHere(ctx context.Context, q jobCall) ([]client.JobStatus, error) {
+	if !e.ledger.Known() {
+		return nil, refusal(client.CodeNotReady, readyRetryAfter, "the ledger is not known here yet")
+	}
+	id := ledger.NewJobID(q.Organisation, q.ID)
+	switch q.Verb {
+	case verbSubmit:
+		return e.submitHere(ctx, id, q.Job)
+	case verbCancel:
+		err := e.propose(ctx, ledger.Record{Cancel: &ledger.Cancel{Job: id}})
+		if err != nil && !errors.Is(err, ledger.ErrNothingNew) {
+			return nil, explain(err)
+		}
+	case verbList:
+		return e.listHere(q.Organisation), nil
+	}
+	return e.readHere(id)
+}
+
+func (e *Entry) submitHere(ctx context.Context, id ledger.JobID, j client.Job) ([]client.JobStatus, error) {
+	err := e.propose(ctx, ledger.Record{Submit: &ledger.Submit{Spec: specOf(id, j)}})
+	if err != nil && !errors.Is(err, ledger.ErrJobExists) {
+		return nil, explain(err)
+	}
+	return e.readHere(id)
+}
+
+// specOf translates a caller's job.
+func specOf(id ledger.JobID, j client.Job) ledger.Spec {
+	spec := ledger.Spec{
+		ID: id, Class: ledger.Class(j.Class), Tasks: j.Tasks, Accelerators: j.Accelerators,
+		Cores: platform.Cores(j.Cores), Memory: platform.Megabytes(j.Memory), RunTime: j.RunTime,
+		RunOnce: j.RunOnce, Preemptible: !j.RunOnce, Command: j.Command,
+	}
+	if spec.Class == "" {
+		spec.Class = ledger.ClassBatch
+	}
+	if j.Preemptible != nil {
+		spec.Preemptible = *j.Preemptible
+	}
+	return spec
+}
+
+func (e *Entry) readHere(id ledger.JobID) ([]client.JobStatus, error) {
+	var found []client.JobStatus
+	e.ledger.Look(func(time.Time) {
+		if j := e.state.Job(id); j != nil {
+			found = append(found, e.statusOf(j))
+		}
+	})
+	if found == nil {
+		return nil, refusal(client.CodeNotFound, 0, "no such job, or its outcome is no longer kept")
+	}
+	return found, nil
+}
+
+func (e *Entry) listHere(name bundle.OrganisationName) []client.JobStatus {
+	found := []client.JobStatus{}
+	e.ledger.Look(func(time.Time) {
+		for _, j := range e.state.Jobs(func(j *ledger.Job) bool { return j.ID.Organisation() == name }) {
+			found = append(found, e.statusOf(j))
+		}
+	})
+	return found
+}
+
+func (e *Entry) statusOf(j *ledger.Job) client.JobStatus {
+	_, own, _ := strings.Cut(string(j.ID), "/")
+	s := client.JobStatus{
+		ID: own, Region: string(e.settings.Region), Class: string(j.Class), Phase: string(j.Phase),
+		Outcome: string(j.Outcome), Error: j.Error, Kind: string(j.Kind), Epoch: uint64(j.Epoch),
+		Submitted: j.Submitted, Started: j.Started, Ended: j.Ended, Progress: j.Progress,
+		Preemptions: j.Preemptions, Cancelled: j.Cancelled,
+	}
+	for _, a := range j.Assignments {
+		s.Tasks = append(s.Tasks, client.TaskPlace{Worker: string(a.Worker), Accelerators: uint64(a.Accelerators)})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/process/entry/links.go
@@ -0,0 +1,17 @@
+package entry
+
+import (
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/membership"
+)
+
+// Table returns the methods that the entry answers.
+func (e *Entry) Table() link.Table {
+	return link.Table{
+		membership.MethodHeartbeat: link.Handle(e.hearHeartbeat),
+		membership.MethodExchange:  link.Handle(e.hearDigest),
+		methodState:                link.Handle(e.giveState),
+		methodServe:                link.Handle(e.serveForwarded),
+		methodJob:                  link.Handle(e.answerJob),
+	}
+}
--- /dev/null
+++ b/internal/process/entry/status.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"time"
+
+	"corianderpass/internal/process/ledger"
+	"corianderpass/pkg/client"
+)
+
+// Status returns what this entry knows of the whole.
+func (e *Entry) Status() client.Status {
+	s := client.Status{Entry: string(e.member.ID), Region: string(e.settings.Region), LogDown: e.ledger.Down() || e.bundles.Down()}
+	if current := e.register.Current(); current != nil {
+		s.Version = uint64(current.Version)
+	}
+	e.ledger.Look(func(now time.Time) { e.describe(&s, now) })
+	for _, b := range e.directory.Alive() {
+		s.Processes = append(s.Processes, client.Process{
+			ID: string(b.ID), Role: string(b.Role), Address: string(b.Address), Region: string(b.Region),
+			FailureDomain: string(b.FailureDomain), Service: string(b.Service), Version: uint64(b.Version),
+			Leaving: b.Leaving, Slots: b.Slots, Busy: b.Busy,
+		})
+	}
+	return s
+}
+
+// describe adds what the ledger knows.
+func (e *Entry) describe(s *client.Status, now time.Time) {
+	s.LedgerVersion = uint64(e.state.Version())
+	s.Shortfall = e.state.Shortfall()
+	s.Workers = len(e.state.Workers())
+	for _, id := range e.state.Workers() {
+		w := e.state.Worker(id)
+		if !w.Trusted(now) {
+			s.Away++
+			continue
+		}
+		s.Accelerators += w.Accelerators
+		s.Held += w.Accelerators - w.Free().Count()
+	}
+	for _, j := range e.state.Active(func(*ledger.Job) bool { return true }) {
+		if j.Holds() {
+			s.RunningJobs++
+		} else {
+			s.WaitingJobs++
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/settings/level.go
@@ -0,0 +1,25 @@
+package settings
+
+import (
+	"strings"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+)
+
+// CheckLevel tells whether the value is a log level or empty.
+func CheckLevel(key, value string) error {
+	if value != "" && hclog.LevelFromString(value) == hclog.NoLevel {
+		return errors.Errorf("%s %q is none of Trace, Debug, Info, Warn and Error", key, value)
+	}
+	return nil
+}
+
+// NewLogger returns a structured logger; an empty level means Info.
+func NewLogger(name, level string) hclog.Logger {
+	l := hclog.LevelFromString(strings.ToLower(level))
+	if l == hclog.NoLevel {
+		l = hclog.Info
+	}
+	return hclog.New(&hclog.LoggerOptions{Name: name, Level: l, JSONFormat: true})
+}
