internal/process/ledger: mend four faults that properties found

Slots are now unseated, then the worker changes, then slots are seated. 2. The quota counted borrowed accelerators against a guaranteed placement, so an organisation at its quota could not reclaim its shape: '0 placements for a guaranteed shape' after 53 checks. Guaranteed placements no longer ask the quota; all others leave room in it for the unfilled slots, so the quota still holds. 3. A job that lost its slot in a new bundle left the slot on a lost worker: 'slot 0 is on unusable worker w0' after 1178 checks. demote now unseats it. 4. Placement moved slots to workers whose cores other unfilled slots need: 'no room for the slot of task 1' after 148 checks. Firm gangs now ask for room beside unfilled slots. Ruled out for 2: raising the quota check's order alone, since Decide and the reducer both applied it.

--- a/internal/process/ledger/health.go
+++ b/internal/process/ledger/health.go
@@ -46,7 +46,8 @@
 	}
 	w.Lost = false
 	if w.Worker != d && len(w.Holdings) == 0 {
-		s.evict(d.ID)
+		// The slots must not be seated anew before the worker has its new size.
+		s.unseatAll(d.ID)
 		w.Worker = d
 		changed = true
 	}
@@ -72,12 +73,17 @@
 
 // evict moves the unfilled slots of a worker to others, as far as there is room.
 func (s *State) evict(id platform.WorkerID) {
+	s.unseatAll(id)
+	s.seatShort()
+}
+
+// unseatAll takes the places of the unfilled slots on a worker away.
+func (s *State) unseatAll(id platform.WorkerID) {
 	for _, i := range s.slotsOn(id) {
 		if s.slots.list[i].Job == "" {
 			s.unseat(i)
 		}
 	}
-	s.seatShort()
 }
 
 // maxQuarantineDoublings bounds the growth of a worker's quarantine.
--- a/internal/process/ledger/lifecycle.go
+++ b/internal/process/ledger/lifecycle.go
@@ -27,8 +27,8 @@
 	if s.open[o.Name] >= o.WaitingJobs {
 		return fmt.Errorf("%w: %s has %d", ErrTooManyJobs, o.Name, s.open[o.Name])
 	}
-	if o.AcceleratorQuota > 0 && spec.Demand() > o.AcceleratorQuota {
-		return fmt.Errorf("%w: %d accelerators are over the quota of %d", ErrNeverFits, spec.Demand(), o.AcceleratorQuota)
+	if room := o.QuotaBesideGuarantees(); o.AcceleratorQuota > 0 && spec.Demand() > room && !s.guaranteeTakes(spec) {
+		return fmt.Errorf("%w: %d accelerators are over the quota of %d beside the guarantees", ErrNeverFits, spec.Demand(), room)
 	}
 	if err := s.checkFits(spec); err != nil {
 		return err
--- a/internal/process/ledger/placing.go
+++ b/internal/process/ledger/placing.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"corianderpass/internal/process/adjacency"
+	"corianderpass/internal/version/bundle"
 	"corianderpass/pkg/platform"
 )
 
@@ -94,19 +95,38 @@
 	return nil
 }
 
+// checkQuota bounds what an organisation holds beyond its guarantees. Room for
+// the unfilled ones is kept within the quota, so that they can be filled at any
+// time without asking.
 func (s *State) checkQuota(j *Job, p Place) error {
 	o, err := s.organisation(j.ID.Organisation())
 	if err != nil {
 		return err
 	}
-	demand := 0
-	for _, a := range p.Assignments {
-		demand += a.Accelerators.Count()
+	if p.Kind == KindGuaranteed || s.WithinQuota(o, j.Demand()) {
+		return nil
 	}
-	if o.AcceleratorQuota > 0 && s.held[o.Name]+demand > o.AcceleratorQuota {
-		return fmt.Errorf("%w: %s holds %d of %d", ErrQuota, o.Name, s.held[o.Name], o.AcceleratorQuota)
+	return fmt.Errorf("%w: %s holds %d of %d and has %d guaranteed", ErrQuota, o.Name, s.held[o.Name], o.AcceleratorQuota, s.openAccelerators(o.Name))
+}
+
+// WithinQuota tells whether the organisation may hold that many accelerators
+// more, beside its unfilled guarantees.
+func (s *State) WithinQuota(o bundle.Organisation, more int) bool {
+	if o.AcceleratorQuota == 0 {
+		return true
 	}
-	return nil
+	return s.held[o.Name]+s.openAccelerators(o.Name)+more <= o.AcceleratorQuota
+}
+
+// openAccelerators returns the size of the organisation's unfilled slots.
+func (s *State) openAccelerators(name bundle.OrganisationName) int {
+	total := 0
+	for _, l := range s.slots.list {
+		if l.Organisation == name && l.Job == "" {
+			total += l.Size
+		}
+	}
+	return total
 }
 
 // holding returns what a task of the job holds.
--- a/internal/process/ledger/slot.go
+++ b/internal/process/ledger/slot.go
@@ -323,7 +323,7 @@
 			continue
 		}
 		s.setSlot(i, l.Worker, l.Accelerators, "")
-		if kind == KindFirm {
+		if kind == KindFirm || !s.workers[l.Worker].Trusted(s.now) {
 			s.unseat(i)
 		}
 	}
--- a/internal/process/ledger/worker.go
+++ b/internal/process/ledger/worker.go
@@ -139,3 +139,10 @@
 func (w *Worker) IsNews(d platform.Worker) bool {
 	return w == nil || w.Lost || w.Worker != d && len(w.Holdings) == 0
 }
+
+// FirmRoom returns the cores and memory beside firm holdings and unfilled slots.
+func (w *Worker) FirmRoom() (platform.Cores, platform.Megabytes) {
+	cores := min(w.Cores, w.firmCores+w.openCores)
+	memory := min(w.Memory, w.firmMemory+w.openMemory)
+	return w.Cores - cores, w.Memory - memory
+}
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/version/bundle"
 	"corianderpass/pkg/platform"
 )
 
@@ -43,7 +44,8 @@
 	large bool
 	// filled has the slots that this plan gave away.
 	filled map[int]bool
-	held   map[string]int
+	// held is what this plan gave each organisation.
+	held   map[bundle.OrganisationName]int
 	places []ledger.Place
 }
 
@@ -56,7 +58,7 @@
 	if len(waiting) == 0 || s.Bundle() == nil {
 		return nil
 	}
-	d := &plan{policy: p, state: s, now: now, view: newView(s, now), filled: map[int]bool{}, held: map[string]int{}}
+	d := &plan{policy: p, state: s, now: now, view: newView(s, now), filled: map[int]bool{}, held: map[bundle.OrganisationName]int{}}
 	d.order(waiting)
 	for _, j := range waiting {
 		d.large = d.large || !j.Small()
@@ -126,10 +128,7 @@
 // consider places the job if it can be placed, or sets accelerators aside for
 // it if it is the first that cannot.
 func (d *plan) consider(j *ledger.Job) {
-	if d.overQuota(j) {
-		return
-	}
-	if d.guaranteed(j) {
+	if d.guaranteed(j) || d.overQuota(j) {
 		return
 	}
 	kind := ledger.KindBorrowed
@@ -151,15 +150,14 @@
 	if !known {
 		return true
 	}
-	held := d.state.Held(o.Name) + d.held[string(o.Name)]
-	return o.AcceleratorQuota > 0 && held+j.Demand() > o.AcceleratorQuota
+	return !d.state.WithinQuota(o, d.held[o.Name]+j.Demand())
 }
 
 func (d *plan) add(j *ledger.Job, s shape, p ledger.Place) {
 	p.Job = j.ID
 	p.Epoch = j.Epoch + 1
 	d.view.take(s, p.Assignments)
-	d.held[string(j.ID.Organisation())] += s.tasks * s.accelerators
+	d.held[j.ID.Organisation()] += s.tasks * s.accelerators
 	d.places = append(d.places, p)
 }
 
@@ -172,7 +170,7 @@
 		return false
 	}
 	first := d.state.Slots()[slots[0]]
-	s := shape{tasks: j.Tasks, accelerators: first.Size, cores: first.Cores, memory: first.Memory}
+	s := shape{tasks: j.Tasks, accelerators: first.Size, cores: first.Cores, memory: first.Memory, firm: true}
 	gang := d.ownPlaces(slots)
 	if gang == nil {
 		gang = d.view.pick(s, open)
--- a/internal/process/placement/view.go
+++ b/internal/process/placement/view.go
@@ -18,9 +18,13 @@
 	// free accelerators are held by nobody; reserved ones belong to unfilled slots.
 	free, reserved platform.AcceleratorSet
 	// kept accelerators are set aside for the blocked head of the queue.
-	kept   platform.AcceleratorSet
+	kept platform.AcceleratorSet
+	// cores and memory are held by nobody.
 	cores  platform.Cores
 	memory platform.Megabytes
+	// firmCores and firmMemory are free of firm holdings and unfilled slots.
+	firmCores  platform.Cores
+	firmMemory platform.Megabytes
 	// testable sites take one single task to prove themselves.
 	testable bool
 }
@@ -41,11 +45,9 @@
 		if !w.Trusted(now) && !testable {
 			continue
 		}
-		cores, memory := w.Room()
-		t := &site{
-			id: id, rack: w.Rack, size: w.Accelerators, free: w.Free(), reserved: w.Open(),
-			cores: cores, memory: memory, testable: testable,
-		}
+		t := &site{id: id, rack: w.Rack, size: w.Accelerators, free: w.Free(), reserved: w.Open(), testable: testable}
+		t.cores, t.memory = w.Room()
+		t.firmCores, t.firmMemory = w.FirmRoom()
 		v.sites = append(v.sites, t)
 		v.byID[id] = t
 	}
@@ -58,6 +60,8 @@
 	accelerators int
 	cores        platform.Cores
 	memory       platform.Megabytes
+	// firm gangs need cores and memory beside the unfilled slots.
+	firm bool
 }
 
 func shapeOf(spec ledger.Spec) shape {
@@ -66,15 +70,19 @@
 
 // fits returns how many tasks the site can hold on the accelerators.
 func (t *site) fits(s shape, set platform.AcceleratorSet) int {
+	if t.testable && s.tasks > 1 {
+		return 0
+	}
+	cores, memory := t.cores, t.memory
+	if s.firm {
+		cores, memory = min(cores, t.firmCores), min(memory, t.firmMemory)
+	}
 	n := adjacency.Fits(set, s.accelerators)
 	if s.cores > 0 {
-		n = min(n, int(t.cores/s.cores))
+		n = min(n, int(cores/s.cores))
 	}
 	if s.memory > 0 {
-		n = min(n, int(t.memory/s.memory))
-	}
-	if t.testable && s.tasks > 1 {
-		return 0
+		n = min(n, int(memory/s.memory))
 	}
 	return n
 }
@@ -212,6 +220,8 @@
 		t.reserved &^= a.Accelerators
 		t.cores -= min(t.cores, s.cores)
 		t.memory -= min(t.memory, s.memory)
+		t.firmCores -= min(t.firmCores, s.cores)
+		t.firmMemory -= min(t.firmMemory, s.memory)
 	}
 }
 
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -173,3 +173,13 @@
 	}
 	return Operator{}, false
 }
+
+// QuotaBesideGuarantees returns what the quota leaves for jobs that fill no
+// guarantee. It means nothing without a quota.
+func (o Organisation) QuotaBesideGuarantees() int {
+	room := o.AcceleratorQuota
+	for _, g := range o.Guarantees {
+		room -= g.Tasks * g.Accelerators
+	}
+	return room
+}
