internal/process/entry: prove requests in virtual time, mend what failed

The tests run entries, agents and minions over an in-memory network (kills, cuts, freezes, log faults). Causes found, each by a test that failed first: 1. A full agent refused and the retry budget ran dry, so 33 of 60 requests were refused although slots freed within 2 s. Orders now wait at the agent for a slot, as many as it has slots, and a request that meets a full agent goes back in line. Ruled out: a larger retry budget, which would multiply an overload. 2. In a log outage the other entry could not see an answer whose settlement was not recorded: 60 of 60 asks timed out. The owner now keeps unsettled answers and gives them to other entries. 3. Found by reading while mending 2: an owner that another entry took for dead could call a request not run that the other ran. An ID is now called not run only after its claim is recorded as given back.

--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -7,6 +7,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"sync"
 
@@ -14,6 +16,10 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// quiet keeps the library from writing to the process's standard error beside
+// the structured log. Its errors reach the callers anyway.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Method names a call.
 type Method string
 
@@ -82,7 +88,7 @@
 // ServeConn serves one connection; it returns at once.
 func (s *Server) ServeConn(ctx context.Context, c net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
-	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.answer)))
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.answer)), quiet)
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
 	s.mu.Unlock()
--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -79,7 +79,7 @@
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
 	// The connection outlives the call that opened it.
-	c := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	c := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse), quiet)
 	p.conns[address] = c
 	go p.forgetAtEnd(address, c)
 	return c
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -51,7 +51,7 @@
 }
 
 // New returns an agent that does nothing before Run.
-func New(s Settings, logger hclog.Logger, dial link.Dialer) *Agent {
+func New(s Settings, logger hclog.Logger, dial link.Dialer, minionDial MinionDial) *Agent {
 	self := incarnation.New(s.Name, time.Now())
 	a := &Agent{
 		settings: s,
@@ -60,7 +60,7 @@
 			ID: self, Role: membership.RoleAgent, Address: s.LinkAddress,
 			Region: s.Region, FailureDomain: s.FailureDomain,
 		},
-		minion:  &minion{},
+		minion:  &minion{dial: minionDial},
 		pool:    link.NewPool(dial),
 		metrics: metrics.NewSet(),
 		wake:    make(chan struct{}, 1),
@@ -276,3 +276,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// Busy returns the number of requests that run.
+func (a *Agent) Busy() int {
+	_, busy, _ := a.table.Load()
+	return busy
+}
--- a/internal/process/agent/minion.go
+++ b/internal/process/agent/minion.go
@@ -55,8 +55,18 @@
 	return nil
 }
 
+// MinionDial opens a connection to a minion.
+type MinionDial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialMinion opens a TCP connection to a minion.
+func DialMinion(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, network, address)
+}
+
 // minion is the backend server beside the agent. It is safe for concurrent use.
 type minion struct {
+	dial MinionDial
+
 	mu   sync.Mutex
 	last Announcement
 	seen time.Time
@@ -75,7 +85,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.http == nil || m.last.Connections != a.Connections {
-		m.http = newMinionClient(a.Connections)
+		m.http = newMinionClient(m.dial, a.Connections)
 	}
 	m.last = a
 	m.seen = now
@@ -87,9 +97,9 @@
 	return m.http, m.last
 }
 
-func newMinionClient(connections int) *http.Client {
+func newMinionClient(dial MinionDial, connections int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     connections,
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     30 * time.Second,
--- a/internal/process/command/providers.go
+++ b/internal/process/command/providers.go
@@ -3,9 +3,12 @@
 import (
 	"corianderpass/internal/connection/link"
 	"corianderpass/internal/connection/remote"
+	"corianderpass/internal/process/agent"
 	"corianderpass/internal/process/entry"
 )
 
 func providePlatform(s entry.Settings) *remote.Client { return remote.NewClient(s.PlatformAddress) }
 
 func provideDialer() link.Dialer { return link.DialTCP }
+
+func provideMinionDial() agent.MinionDial { return agent.DialMinion }
--- a/internal/process/command/wire.go
+++ b/internal/process/command/wire.go
@@ -24,6 +24,6 @@
 
 // initializeAgent builds an agent.
 func initializeAgent(s agent.Settings, logger hclog.Logger) *agent.Agent {
-	wire.Build(provideDialer, agent.New)
+	wire.Build(provideDialer, provideMinionDial, agent.New)
 	return nil
 }
--- a/internal/process/command/wire_gen.go
+++ b/internal/process/command/wire_gen.go
@@ -25,6 +25,7 @@
 // initializeAgent builds an agent.
 func initializeAgent(s agent.Settings, logger hclog.Logger) *agent.Agent {
 	dialer := provideDialer()
-	agentAgent := agent.New(s, logger, dialer)
+	minionDial := provideMinionDial()
+	agentAgent := agent.New(s, logger, dialer, minionDial)
 	return agentAgent
 }
--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -27,7 +27,8 @@
 	sweepAge = 2 * time.Second
 	// recheckEvery is how often a waiting caller looks whether the owner died.
 	recheckEvery = 500 * time.Millisecond
-	// claimTries bounds the agents to which one claimed request is offered.
+	// claimTries bounds the agents to which one claimed request is offered; each
+	// further one costs an append.
 	claimTries = 5
 	// settlePause is the pause between two tries to record an answer.
 	settlePause = 500 * time.Millisecond
@@ -88,12 +89,6 @@
 	close(f.done)
 }
 
-func (e *Entry) inFlight(key ledger.ClaimKey) bool {
-	e.flightsMu.Lock()
-	defer e.flightsMu.Unlock()
-	return e.flights[key] != nil
-}
-
 func digestOf(body []byte) string {
 	sum := sha256.Sum256(body)
 	return hex.EncodeToString(sum[:])
@@ -146,9 +141,12 @@
 			return ledger.Answer{}, err
 		}
 		if errors.Is(err, journal.ErrFateUnknown) {
-			// Nothing was dispatched, and nothing will be: if the claim is recorded
-			// after all, the sweep gives it back.
-			return ledger.Answer{}, refusal(client.CodeLogDown, logRetryAfter, "the claim could not be recorded in time")
+			// Nothing was dispatched here. But if the claim is recorded after all, a
+			// caller who attached to it elsewhere may run the request.
+			return ledger.Answer{}, &client.Error{
+				Code: client.CodeUnknownFate, Fate: client.FateUnknown, RetryAfter: logRetryAfter,
+				Message: "the claim was not confirmed in time; ask again with the same ID",
+			}
 		}
 		return ledger.Answer{}, explain(err)
 	}
@@ -176,14 +174,30 @@
 		avoid = append(avoid, pass.Agent.ID)
 		next, err := e.retarget(ctx, c, key, epoch, avoid, try)
 		if err != nil {
-			e.unclaimLater(key, epoch)
-			return ledger.Answer{}, e.judge(c, reply)
+			return e.giveBack(ctx, c, key, epoch, reply)
 		}
 		pass, o = next.pass, next.order
 		epoch++
 	}
 }
 
+// giveBack frees the ID of a request that was refused everywhere. Only once that
+// is recorded may it be called not run: another entry that took this one for
+// dead may have the request by now.
+func (e *Entry) giveBack(ctx context.Context, c caller.Call, key ledger.ClaimKey, epoch platform.Epoch, reply dispatch.Reply) (ledger.Answer, error) {
+	err := e.proposeQuietly(ctx, ledger.Record{Unclaim: &ledger.Unclaim{Key: key, Epoch: epoch}})
+	switch {
+	case err == nil:
+		return ledger.Answer{}, e.judge(c, reply)
+	case isVoid(err):
+		return e.attach(ctx, c, key)
+	}
+	return ledger.Answer{}, &client.Error{
+		Code: client.CodeUnknownFate, Fate: client.FateUnknown, RetryAfter: logRetryAfter,
+		Message: "refused, but the ID could not be given back; ask again with the same ID",
+	}
+}
+
 // retry is the next dispatch of a claimed request.
 type retry struct {
 	pass  gate.Pass
@@ -195,7 +209,7 @@
 
 // retarget records that a refused request goes to another agent.
 func (e *Entry) retarget(ctx context.Context, c caller.Call, key ledger.ClaimKey, epoch platform.Epoch, avoid []incarnation.ID, try int) (retry, error) {
-	if try >= claimTries || ctx.Err() != nil || !e.retries.Retry() {
+	if try >= claimTries || ctx.Err() != nil {
 		return retry{}, errNoRetry
 	}
 	pass, err := e.enter(ctx, c, avoid)
@@ -203,15 +217,23 @@
 		return retry{}, err
 	}
 	o := e.order(ctx, c, pass, true)
-	err = e.propose(ctx, ledger.Record{Reclaim: &ledger.Reclaim{
-		Key: key, Epoch: epoch + 1, Owner: e.member.ID, OwnerAddress: e.settings.LinkAddress,
+	if err := e.reclaim(ctx, key, epoch+1, pass, o); err != nil {
+		return retry{}, err
+	}
+	return retry{pass: pass, order: o}, nil
+}
+
+// reclaim records a new owner or target for a claim. The pass is given back if
+// that fails.
+func (e *Entry) reclaim(ctx context.Context, key ledger.ClaimKey, epoch platform.Epoch, pass gate.Pass, o dispatch.Order) error {
+	err := e.propose(ctx, ledger.Record{Reclaim: &ledger.Reclaim{
+		Key: key, Epoch: epoch, Owner: e.member.ID, OwnerAddress: e.settings.LinkAddress,
 		Dispatch: o.ID, Target: targetOf(pass),
 	}})
 	if err != nil {
 		e.gate.Done(pass, gate.ResultUnused, 0)
-		return retry{}, err
 	}
-	return retry{pass: pass, order: o}, nil
+	return err
 }
 
 // outlast asks again for a dispatch whose fate is unknown because the link was
@@ -230,22 +252,14 @@
 }
 
 // settleLater records the answer, however long the log is down. The caller need
-// not wait for it: the agent keeps the answer as well.
+// not wait for it; until it is recorded other entries get it from this one.
 func (e *Entry) settleLater(key ledger.ClaimKey, epoch platform.Epoch, answer ledger.Answer) {
-	e.recordLater(ledger.Record{Settle: &ledger.Settle{Key: key, Epoch: epoch, Answer: answer}})
-}
-
-// unclaimLater gives the ID of a request back that did not run.
-func (e *Entry) unclaimLater(key ledger.ClaimKey, epoch platform.Epoch) {
-	e.recordLater(ledger.Record{Unclaim: &ledger.Unclaim{Key: key, Epoch: epoch}})
-}
-
-func (e *Entry) recordLater(r ledger.Record) {
+	e.setUnsettled(key, &answer)
 	e.spawn(func() {
+		defer e.setUnsettled(key, nil)
 		for e.life.Err() == nil {
-			err := e.proposeQuietly(e.life, r)
-			var void *journal.VoidError
-			if err == nil || errors.As(err, &void) || e.leaving.Load() {
+			err := e.proposeQuietly(e.life, ledger.Record{Settle: &ledger.Settle{Key: key, Epoch: epoch, Answer: answer}})
+			if err == nil || isVoid(err) || e.leaving.Load() {
 				return
 			}
 			sleep(e.life, settlePause)
@@ -253,6 +267,30 @@
 	})
 }
 
+// setUnsettled notes an answer that is not recorded yet; nil forgets it.
+func (e *Entry) setUnsettled(key ledger.ClaimKey, answer *ledger.Answer) {
+	e.flightsMu.Lock()
+	defer e.flightsMu.Unlock()
+	if answer == nil {
+		delete(e.unsettled, key)
+		return
+	}
+	e.unsettled[key] = answer
+}
+
+// own returns the request's flight or unrecorded answer in this process.
+func (e *Entry) own(key ledger.ClaimKey) (*flight, *ledger.Answer) {
+	e.flightsMu.Lock()
+	defer e.flightsMu.Unlock()
+	return e.flights[key], e.unsettled[key]
+}
+
+// isVoid tells whether an error is a machine's judgement.
+func isVoid(err error) bool {
+	var void *journal.VoidError
+	return errors.As(err, &void)
+}
+
 // attach waits for the answer of a request that is claimed already. If its owner
 // died, the attached caller resolves the claim.
 func (e *Entry) attach(ctx context.Context, c caller.Call, key ledger.ClaimKey) (ledger.Answer, error) {
@@ -266,11 +304,10 @@
 			return ledger.Answer{}, refusal(client.CodeConflict, 0, "the request ID is taken by another service or body")
 		case claim.Answer != nil:
 			return *claim.Answer, e.judge(c, dispatch.Reply{Answer: *claim.Answer})
-		case claim.Owner == e.member.ID || !e.directory.IsAlive(claim.Owner):
-			answer, done, err := e.resolve(ctx, c, key, *claim)
-			if done {
-				return answer, err
-			}
+		}
+		answer, done, err := e.attachOnce(ctx, c, key, *claim)
+		if done {
+			return answer, err
 		}
 		wait := time.NewTimer(recheckEvery)
 		select {
@@ -284,6 +321,57 @@
 	}
 }
 
+// attachOnce asks whoever must know the answer of an open claim: this process,
+// the living owner, or the agent if the owner is gone.
+func (e *Entry) attachOnce(ctx context.Context, c caller.Call, key ledger.ClaimKey, claim ledger.ClaimState) (ledger.Answer, bool, error) {
+	if _, answer := e.own(key); answer != nil {
+		return *answer, true, e.judge(c, dispatch.Reply{Answer: *answer})
+	}
+	if claim.Owner == e.member.ID || !e.directory.IsAlive(claim.Owner) {
+		return e.resolve(ctx, c, key, claim)
+	}
+	ctx, cancel := context.WithTimeout(ctx, recheckEvery+revokeTimeout)
+	defer cancel()
+	got, err := link.Call[awaitAnswer](ctx, e.pool, claim.OwnerAddress, methodAwait, awaitQuery{Key: key, Owner: claim.Owner, Wait: recheckEvery})
+	if err != nil || got.Answer == nil {
+		return ledger.Answer{}, false, nil
+	}
+	return *got.Answer, true, e.judge(c, dispatch.Reply{Answer: *got.Answer})
+}
+
+// methodAwait asks the owner of a claim for the answer.
+const methodAwait link.Method = "Claim.Await"
+
+// awaitQuery asks for the answer of a claim, waiting at most so long.
+type awaitQuery struct {
+	Key   ledger.ClaimKey
+	Owner incarnation.ID
+	Wait  time.Duration
+}
+
+// awaitAnswer has the answer if it is known.
+type awaitAnswer struct {
+	Answer *ledger.Answer `json:",omitempty"`
+}
+
+// giveAnswer answers another entry's callers of a request that runs here.
+func (e *Entry) giveAnswer(ctx context.Context, q awaitQuery) (awaitAnswer, error) {
+	if q.Owner != e.member.ID {
+		return awaitAnswer{}, errors.New("entry: the owner was replaced")
+	}
+	if f, _ := e.own(q.Key); f != nil {
+		wait := time.NewTimer(q.Wait)
+		defer wait.Stop()
+		select {
+		case <-f.done:
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+	}
+	_, answer := e.own(q.Key)
+	return awaitAnswer{Answer: answer}, nil
+}
+
 // resolve finds out what became of a claim whose owner is gone, and runs the
 // request if its dispatch can no longer start. It returns done false if the
 // claim changed meanwhile.
@@ -296,12 +384,7 @@
 			return ledger.Answer{}, true, err
 		}
 		o := e.order(ctx, c, pass, true)
-		err = e.propose(ctx, ledger.Record{Reclaim: &ledger.Reclaim{
-			Key: key, Epoch: claim.Epoch + 1, Owner: e.member.ID, OwnerAddress: e.settings.LinkAddress,
-			Dispatch: o.ID, Target: targetOf(pass),
-		}})
-		if err != nil {
-			e.gate.Done(pass, gate.ResultUnused, 0)
+		if err := e.reclaim(ctx, key, claim.Epoch+1, pass, o); err != nil {
 			return ledger.Answer{}, false, nil
 		}
 		answer, err := e.runClaimed(ctx, c, key, claim.Epoch+1, pass, o)
@@ -340,7 +423,10 @@
 	e.ledger.Look(func(at time.Time) { keys = e.state.OpenClaims(later(time.Now(), at), sweepAge) })
 	for _, key := range keys {
 		claim := e.claimOf(key)
-		if claim == nil || claim.Answer != nil || e.inFlight(key) {
+		if claim == nil || claim.Answer != nil {
+			continue
+		}
+		if f, answer := e.own(key); f != nil || answer != nil {
 			continue
 		}
 		orphan := rank == 0 && !e.directory.IsAlive(claim.Owner)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -67,6 +67,8 @@
 	// flights are the claimed requests that this process runs.
 	flightsMu sync.Mutex
 	flights   map[ledger.ClaimKey]*flight
+	// unsettled are answers of claimed requests that are not recorded yet.
+	unsettled map[ledger.ClaimKey]*ledger.Answer
 	// background counts goroutines that outlive their caller.
 	background sync.WaitGroup
 	// life ends when the process does.
@@ -91,7 +93,7 @@
 		retries:  gate.NewRetryBudget(),
 		gate:     gate.New(s.Region, 1, 0, uint64(time.Now().UnixNano())),
 		began:    time.Now(),
-		flights:  map[ledger.ClaimKey]*flight{},
+		flights:  map[ledger.ClaimKey]*flight{}, unsettled: map[ledger.ClaimKey]*ledger.Answer{},
 	}
 	options := journal.Options{SnapshotAge: s.SnapshotAge.Std()}
 	e.bundles = journal.New(log, BundleStream, self, journal.Machine[bundle.Record](e.register), options)
--- a/internal/process/entry/links.go
+++ b/internal/process/entry/links.go
@@ -11,6 +11,7 @@
 		membership.MethodHeartbeat: link.Handle(e.hearHeartbeat),
 		membership.MethodExchange:  link.Handle(e.hearDigest),
 		methodState:                link.Handle(e.giveState),
+		methodAwait:                link.Handle(e.giveAnswer),
 		methodServe:                link.Handle(e.serveForwarded),
 		methodJob:                  link.Handle(e.answerJob),
 	}
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -47,6 +47,10 @@
 			return ledger.Answer{}, err
 		}
 		reply := e.send(ctx, pass, e.order(ctx, c, pass, false))
+		if reply.Refusal == dispatch.RefusedFull && ctx.Err() == nil {
+			// The gate keeps the agent free for a while; the request goes back in line.
+			continue
+		}
 		final := e.judge(c, reply)
 		retriable := reply.Fate == ledger.FateNotRun || reply.Fate == ledger.FateUnknown && c.Repeatable
 		if !retriable || ctx.Err() != nil || !e.retries.Retry() {
--- /dev/null
+++ b/internal/process/entry/requests_test.go
@@ -0,0 +1,294 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/process/standin"
+	"corianderpass/pkg/client"
+)
+
+func TestARequestIsServedFromEndToEnd(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		answer, err := w.call(w.entries["e1"], "", "invoice", true)
+		if err != nil || string(answer.Body) != "answer to invoice" {
+			t.Fatalf("answer %q, %v", answer.Body, err)
+		}
+	})
+}
+
+func TestARequestIDRunsOnceWhereverItArrives(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		type outcome struct {
+			answer ledger.Answer
+			err    error
+		}
+		outcomes := make(chan outcome, 20)
+		for i := range 20 {
+			n := w.entries[[]string{"e1", "e2"}[i%2]]
+			go func() {
+				answer, err := w.call(n, "order-1", "sleep 300ms order", false)
+				outcomes <- outcome{answer, err}
+			}()
+		}
+		for range 20 {
+			o := <-outcomes
+			if o.err != nil || string(o.answer.Body) != "answer to sleep 300ms order" {
+				t.Errorf("answer %q, %v", o.answer.Body, o.err)
+			}
+		}
+		if runs := w.runs(w.posts()...)["timber/order-1"]; runs != 1 {
+			t.Errorf("ran %d times", runs)
+		}
+		_, err := w.call(w.entries["e2"], "order-1", "another body", false)
+		if e := client.AsError(err); e == nil || e.Code != client.CodeConflict || e.Fate != client.FateNotRun {
+			t.Errorf("another body under the same ID: %v", err)
+		}
+	})
+}
+
+// The failure: the entry that owns the claim is killed, or cut off, at every
+// moment of the request's life. The caller who asks the other entry gets the
+// one whole answer, and the request runs once.
+func TestAClaimOutlivesItsOwner(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		for _, after := range []time.Duration{time.Millisecond, 5 * time.Millisecond, 50 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprintf("cut %t after %s", cut, after), func(t *testing.T) {
+				run(t, func(w *world) {
+					w.start()
+					posts := w.posts()
+					owner, other := w.entries["e1"], w.entries["e2"]
+					gone := make(chan struct{})
+					go func() {
+						defer close(gone)
+						_, _ = w.call(owner, "order-1", "sleep 700ms order", false)
+					}()
+					time.Sleep(after)
+					if cut {
+						w.net.Cut("e1", "e2")
+						for _, p := range posts {
+							w.net.Cut("e1", p.name)
+						}
+						owner.freeze.Freeze()
+					} else {
+						w.kill("e1")
+					}
+					answer, err := w.call(other, "order-1", "sleep 700ms order", false)
+					if err != nil || string(answer.Body) != "answer to sleep 700ms order" {
+						t.Errorf("answer %q, %v", answer.Body, err)
+					}
+					time.Sleep(10 * time.Second)
+					if runs := w.runs(posts...)["timber/order-1"]; runs != 1 {
+						t.Errorf("ran %d times", runs)
+					}
+					owner.freeze.Thaw()
+					<-gone
+				})
+			})
+		}
+	}
+}
+
+// The failure: the agent that runs a request dies. A request that is not
+// repeatable is answered "unknown" at once; a repeatable one runs elsewhere.
+func TestAnAgentsDeathIsToldAtOnce(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		posts := w.posts()
+		type outcome struct {
+			err  error
+			took time.Duration
+		}
+		ask := func(repeatable bool) <-chan outcome {
+			outcomes := make(chan outcome, 1)
+			go func() {
+				begun := time.Now()
+				_, err := w.call(w.entries["e1"], "", "sleep 5s slow", repeatable)
+				outcomes <- outcome{err, time.Since(begun)}
+			}()
+			return outcomes
+		}
+		once, again := ask(false), ask(true)
+		time.Sleep(time.Second)
+		for _, p := range posts {
+			if p.Busy() > 0 {
+				w.killAgent(p.name)
+			}
+		}
+		if len(w.agents) == 0 {
+			w.addAgent("a9", north, 8, 0)
+		}
+		o := <-once
+		if e := client.AsError(o.err); e == nil || e.Fate != client.FateUnknown || o.took > 3*time.Second {
+			t.Errorf("not repeatable: %v after %s", o.err, o.took)
+		}
+		if o := <-again; o.err != nil {
+			t.Errorf("repeatable: %v", o.err)
+		}
+	})
+}
+
+// The failure: a burst of ten times the slots. Whoever is refused is told at
+// once and with a time to come back, and was not run; nobody waits for nothing.
+func TestABurstIsRefusedEarlyAndHonestly(t *testing.T) {
+	run(t, func(w *world) {
+		w.document = w.rules("[Limits]\nRequestTime = \"2s\"\nWaitingRequests = 64\n")
+		w.start()
+		type outcome struct {
+			id   string
+			err  error
+			took time.Duration
+		}
+		const count = 400
+		outcomes := make(chan outcome, count)
+		for i := range count {
+			n := w.entries[[]string{"e1", "e2"}[i%2]]
+			go func() {
+				id := fmt.Sprint("burst-", i)
+				begun := time.Now()
+				_, err := w.call(n, id, "sleep 200ms burst", false)
+				outcomes <- outcome{id, err, time.Since(begun)}
+			}()
+		}
+		answered := 0
+		var refused []outcome
+		for range count {
+			o := <-outcomes
+			e := client.AsError(o.err)
+			switch {
+			case o.err == nil:
+				answered++
+			case e.Fate == client.FateNotRun:
+				refused = append(refused, o)
+				if e.RetryAfter == 0 {
+					t.Errorf("%s: refused without a time to come back: %v", o.id, e)
+				}
+			default:
+				t.Errorf("%s: %v", o.id, o.err)
+			}
+		}
+		runs := w.runs(w.posts()...)
+		for _, o := range refused {
+			if runs["timber/"+o.id] != 0 {
+				t.Errorf("%s: refused as not run, and ran", o.id)
+			}
+		}
+		for id, n := range runs {
+			if n > 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+		if answered < 128 {
+			t.Errorf("only %d of %d were answered", answered, count)
+		}
+	})
+}
+
+// The failure: a minion announces that it leaves while requests run. Nothing new
+// reaches it, and what runs is answered.
+func TestALeavingMinionGetsNothingNewAndCutsNothing(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		outcomes := make(chan error, 20)
+		for range 20 {
+			go func() {
+				_, err := w.call(w.entries["e1"], "", "sleep 3s slow", true)
+				outcomes <- err
+			}()
+		}
+		time.Sleep(time.Second)
+		leaver := w.agents["a0"]
+		before := len(leaver.minion.Runs())
+		leaver.leave()
+		for range 40 {
+			go func() {
+				_, err := w.call(w.entries["e2"], "", "new", true)
+				outcomes <- err
+			}()
+		}
+		for range 60 {
+			if err := <-outcomes; err != nil {
+				t.Error(err)
+			}
+		}
+		if after := len(leaver.minion.Runs()); after != before {
+			t.Errorf("the leaving minion got %d requests more", after-before)
+		}
+		if before == 0 {
+			t.Error("the minion had nothing to do before")
+		}
+	})
+}
+
+// The failure: an entry leaves gracefully while claimed and free requests run.
+func TestALeavingEntryCutsNoRequest(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		leaver := w.entries["e1"]
+		outcomes := make(chan error, 20)
+		for i := range 20 {
+			go func() {
+				id := ""
+				if i%2 == 0 {
+					id = fmt.Sprint("order-", i)
+				}
+				_, err := w.call(leaver, id, "sleep 2s order", false)
+				outcomes <- err
+			}()
+		}
+		time.Sleep(time.Second)
+		leaver.Leave(w.t.Context())
+		if ready, _ := leaver.Ready(); ready {
+			t.Error("a leaving entry calls itself ready")
+		}
+		for range 20 {
+			if err := <-outcomes; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// The failure: the log is down for ten minutes while requests come and go.
+func TestWithoutTheLogFreeRequestsAreServedAndClaimedOnesRefusedAtOnce(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		if _, err := w.call(w.entries["e1"], "before", "order", false); err != nil {
+			t.Fatal(err)
+		}
+		w.log.SetFaults(standin.LogFaults{Down: true})
+		for i := range 60 {
+			if _, err := w.call(w.entries["e2"], "", "free", true); err != nil {
+				t.Errorf("free request %d: %v", i, err)
+			}
+			begun := time.Now()
+			_, err := w.call(w.entries["e1"], fmt.Sprint("during-", i), "order", false)
+			e := client.AsError(err)
+			if e == nil || e.Fate != client.FateNotRun || e.RetryAfter == 0 {
+				t.Errorf("claimed request %d: %v", i, err)
+			}
+			if took := time.Since(begun); took > 100*time.Millisecond {
+				t.Errorf("claimed request %d was refused after %s", i, took)
+			}
+			answer, err := w.call(w.entries["e2"], "before", "order", false)
+			if err != nil || string(answer.Body) != "answer to order" {
+				t.Errorf("an answer from before the outage: %q, %v", answer.Body, err)
+			}
+			time.Sleep(10 * time.Second)
+		}
+		w.log.SetFaults(standin.LogFaults{})
+		w.await("claimed requests after the outage", 5*time.Second, func() bool {
+			_, err := w.call(w.entries["e1"], "after", "order", false)
+			return err == nil
+		})
+		for id, n := range w.runs(w.posts()...) {
+			if n > 1 || len(id) > 13 && id[:13] == "timber/during" {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/entry/world_test.go
@@ -0,0 +1,412 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"corianderpass/internal/connection/caller"
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/agent"
+	"corianderpass/internal/process/entry"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/process/standin"
+	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/client"
+	"corianderpass/pkg/platform"
+)
+
+const (
+	north platform.Region = "Mazowsze"
+	south platform.Region = "Pomorze"
+)
+
+// world is a whole system in virtual time: platform, entries, agents, minions.
+type world struct {
+	t       *testing.T
+	net     *standin.Network
+	log     *standin.Log
+	workers *standin.Workers
+	keys    map[string]ed25519.PrivateKey
+	entries map[string]*node
+	agents  map[string]*post
+	version uint64
+	// document is the bundle that start rolls.
+	document string
+	regions  []platform.Region
+}
+
+// node is one entry.
+type node struct {
+	*entry.Entry
+	name   string
+	region platform.Region
+	freeze *standin.Freezer
+	cancel context.CancelFunc
+	ended  <-chan error
+}
+
+// post is one agent with its minion.
+type post struct {
+	*agent.Agent
+	name   string
+	minion *standin.Minion
+	cancel context.CancelFunc
+	ended  []<-chan error
+	// service and slots are what the minion announces.
+	service string
+	slots   int
+	leaving bool
+	mu      sync.Mutex
+}
+
+// run makes a world with workers, and calls f in virtual time.
+func run(t *testing.T, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			t: t, net: &standin.Network{}, log: &standin.Log{AppendsPerSecond: 400},
+			keys: map[string]ed25519.PrivateKey{}, entries: map[string]*node{}, agents: map[string]*post{},
+			regions: []platform.Region{north},
+		}
+		shape := platform.Worker{Accelerators: 8, Cores: 64, Memory: 256 << 10}
+		w.workers = standin.NewWorkers(standin.Racks([]string{string(north), string(south)}, 10, 3, shape)...)
+		for i, name := range []string{"ana", "bela", "cid"} {
+			seed := make([]byte, ed25519.SeedSize)
+			seed[0] = byte(i + 1)
+			w.keys[name] = ed25519.NewKeyFromSeed(seed)
+		}
+		w.document = w.rules("")
+		f(w)
+		w.stopAll()
+	})
+}
+
+func (w *world) operators() []bundle.Operator {
+	var list []bundle.Operator
+	for _, name := range []string{"ana", "bela", "cid"} {
+		public := w.keys[name].Public().(ed25519.PublicKey)
+		list = append(list, bundle.Operator{Name: bundle.OperatorName(name), PublicKey: base64.StdEncoding.EncodeToString(public)})
+	}
+	return list
+}
+
+// rules returns a bundle with two organisations; extra goes to the end.
+func (w *world) rules(extra string) string {
+	var b strings.Builder
+	for _, o := range w.operators() {
+		fmt.Fprintf(&b, "[[Operators]]\nName = %q\nPublicKey = %q\n", o.Name, o.PublicKey)
+	}
+	for _, name := range []string{"audit", "timber"} {
+		sum := sha256.Sum256([]byte(name))
+		fmt.Fprintf(&b, "[[Organisations]]\nName = %q\nHomeRegion = %q\nTokenDigests = [%q]\n", name, north, hex.EncodeToString(sum[:]))
+		if name == "audit" {
+			fmt.Fprintf(&b, "[[Organisations.Guarantees]]\nName = \"large\"\nRegion = %q\nTasks = 4\nAccelerators = 8\nCores = 16\nMemory = 1024\n", north)
+		}
+	}
+	b.WriteString("[[Services]]\nName = \"evidence\"\n[Sharing]\nCheckpointGrace = \"5s\"\n" + extra)
+	return b.String()
+}
+
+// addEntry starts an entry.
+func (w *world) addEntry(name string, region platform.Region) *node {
+	s := entry.Settings{
+		Name: name, Region: region, FailureDomain: platform.FailureDomain(string(region) + "-d0"),
+		LinkAddress: link.Address(name), RootOperators: w.operators(), SnapshotAge: bundle.Duration(10 * time.Minute),
+	}
+	for other := range w.entries {
+		s.Peers = append(s.Peers, other)
+	}
+	n := &node{name: name, region: region, freeze: &standin.Freezer{}}
+	n.Entry = entry.New(s, hclog.NewNullLogger(), n.freeze.Log(w.log), n.freeze.Workers(w.workers), w.net.Dial(name))
+	ctx, cancel := context.WithCancel(w.t.Context())
+	n.cancel = cancel
+	link.NewServer(n.Table()).Serve(ctx, w.net.Listen(name, s.LinkAddress))
+	n.ended = n.Start(ctx)
+	w.entries[name] = n
+	return n
+}
+
+// addAgent starts an agent with its minion.
+func (w *world) addAgent(name string, region platform.Region, slots int, delay time.Duration) *post {
+	p := &post{name: name, minion: &standin.Minion{Delay: delay}, service: "evidence", slots: slots}
+	s := agent.Settings{
+		Name: name, Region: region, FailureDomain: "d", LinkAddress: link.Address(name),
+		DrainTime: bundle.Duration(time.Minute),
+	}
+	for _, n := range w.entries {
+		if n.region == region {
+			s.Entries = append(s.Entries, n.name)
+		}
+	}
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		return w.net.Dial(name)(ctx, link.Address(strings.TrimSuffix(address, ":80")))
+	}
+	p.Agent = agent.New(s, hclog.NewNullLogger(), w.net.Dial(name), dial)
+	ctx, cancel := context.WithCancel(w.t.Context())
+	p.cancel = cancel
+	linkEnded := link.NewServer(p.Table()).Serve(ctx, w.net.Listen(name, s.LinkAddress))
+	server := &http.Server{Handler: p.minion.Handler()}
+	minionEnded := make(chan error, 1)
+	go func() { minionEnded <- server.Serve(w.net.Listen(name, link.Address("minion-"+name))) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	p.ended = []<-chan error{linkEnded, minionEnded, p.StartHeartbeats(ctx), p.announce(ctx)}
+	w.agents[name] = p
+	return p
+}
+
+// announce is the minion's part in announcing itself.
+func (p *post) announce(ctx context.Context) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for {
+			p.mu.Lock()
+			p.Announce(agent.Announcement{Service: bundle.ServiceName(p.service), Address: "minion-" + p.name, Slots: p.slots, Connections: 64, Leaving: p.leaving})
+			p.mu.Unlock()
+			select {
+			case <-ctx.Done():
+				ended <- nil
+				return
+			case <-tick.C:
+			}
+		}
+	}()
+	return ended
+}
+
+// leave makes the minion announce that it is leaving.
+func (p *post) leave() {
+	p.mu.Lock()
+	p.leaving = true
+	p.Announce(agent.Announcement{Service: bundle.ServiceName(p.service), Address: "minion-" + p.name, Slots: p.slots, Connections: 64, Leaving: true})
+	p.mu.Unlock()
+}
+
+// kill ends an entry as a kill signal does: nothing is handed over or released.
+func (w *world) kill(name string) {
+	n := w.entries[name]
+	delete(w.entries, name)
+	n.freeze.Thaw()
+	w.net.Kill(name)
+	n.cancel()
+	<-n.ended
+}
+
+// killAgent ends an agent and its minion.
+func (w *world) killAgent(name string) {
+	p := w.agents[name]
+	delete(w.agents, name)
+	w.net.Kill(name)
+	p.cancel()
+	for _, ended := range p.ended {
+		<-ended
+	}
+}
+
+func (w *world) stopAll() {
+	for name := range w.entries {
+		w.kill(name)
+	}
+	for name := range w.agents {
+		w.killAgent(name)
+	}
+}
+
+// start makes a small system of two entries and three agents with a bundle in force.
+func (w *world) start() {
+	w.addEntry("e1", north)
+	w.addEntry("e2", north)
+	for i := range 3 {
+		w.addAgent(fmt.Sprintf("a%d", i), north, 8, 50*time.Millisecond)
+	}
+	w.settle()
+	w.roll(w.document)
+	time.Sleep(5 * time.Second)
+}
+
+// settle lets a new entry hear of the others.
+func (w *world) settle() { time.Sleep(5 * time.Second) }
+
+// roll drafts, approves and rolls a bundle at any entry.
+func (w *world) roll(document string) {
+	w.t.Helper()
+	if err := w.tryRoll(w.any(), "ana", "bela", document); err != nil {
+		w.t.Fatal(err)
+	}
+	w.version++
+}
+
+func (w *world) tryRoll(n *node, author, second, document string) error {
+	base := n.Bundle().Version
+	digest := bundle.DigestOf(bundle.Version(base), document)
+	_, err := n.DraftBundle(w.t.Context(), client.Draft{
+		Author: author, Base: base, Document: document, Signature: bundle.Sign(w.keys[author], bundle.ActionDraft, digest),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = n.ApproveBundle(w.t.Context(), client.Consent{
+		Operator: second, Digest: string(digest), Signature: bundle.Sign(w.keys[second], bundle.ActionApprove, digest),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = n.RollBundle(w.t.Context(), client.Consent{
+		Operator: author, Digest: string(digest), Signature: bundle.Sign(w.keys[author], bundle.ActionRoll, digest),
+	})
+	return err
+}
+
+// any returns the first entry by name.
+func (w *world) any() *node {
+	for _, name := range []string{"e1", "e2", "e3", "s1"} {
+		if n := w.entries[name]; n != nil {
+			return n
+		}
+	}
+	w.t.Fatal("no entry is left")
+	return nil
+}
+
+func (w *world) organisation(n *node, name string) bundle.Organisation {
+	o, known := n.InForce().Bundle.Organisation(bundle.OrganisationName(name))
+	if !known {
+		w.t.Fatalf("no organisation %s", name)
+	}
+	return o
+}
+
+// call serves one request at an entry.
+func (w *world) call(n *node, id, body string, repeatable bool) (ledger.Answer, error) {
+	return n.Serve(w.t.Context(), caller.Call{
+		Organisation: w.organisation(n, "timber"), Service: "evidence", RequestID: id, Repeatable: repeatable, Body: []byte(body),
+	})
+}
+
+// runs returns how often each request ran on all minions that ever were.
+func (w *world) runs(posts ...*post) map[string]int {
+	total := map[string]int{}
+	for _, p := range posts {
+		for id, n := range p.minion.Runs() {
+			total[id] += n
+		}
+	}
+	return total
+}
+
+func (w *world) posts() []*post {
+	var list []*post
+	for _, p := range w.agents {
+		list = append(list, p)
+	}
+	return list
+}
+
+// submit enters a job of an organisation.
+func (w *world) submit(n *node, organisation string, j client.Job) client.JobStatus {
+	w.t.Helper()
+	s, err := n.SubmitJob(w.t.Context(), w.organisation(n, organisation), j)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return s
+}
+
+func (w *world) job(n *node, organisation, id string) client.JobStatus {
+	w.t.Helper()
+	s, err := n.Job(w.t.Context(), w.organisation(n, organisation), id)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return s
+}
+
+// await waits until the condition holds and returns how long that took.
+func (w *world) await(what string, atMost time.Duration, condition func() bool) time.Duration {
+	w.t.Helper()
+	begun := time.Now()
+	for !condition() {
+		if time.Since(begun) > atMost {
+			w.t.Fatalf("%s: not within %s", what, atMost)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(begun)
+}
+
+// tasksOf returns the running tasks of a job and their epochs.
+func (w *world) tasksOf(organisation, id string) (count int, epochs map[platform.Epoch]int) {
+	epochs = map[platform.Epoch]int{}
+	prefix := string(ledger.NewJobID(bundle.OrganisationName(organisation), id)) + "#"
+	for _, r := range w.workers.Running() {
+		if strings.HasPrefix(string(r.Lease), prefix) {
+			count++
+			epochs[r.Epoch]++
+		}
+	}
+	return count, epochs
+}
+
+// wholeness watches the workers and notes for how long any gang ran in part.
+type wholeness struct {
+	mu    sync.Mutex
+	sizes map[string]int
+	since map[string]time.Time
+	worst time.Duration
+	which string
+}
+
+// watch samples until the test ends.
+func (w *world) watch(sizes map[string]int) *wholeness {
+	g := &wholeness{sizes: sizes, since: map[string]time.Time{}}
+	go func() {
+		for w.t.Context().Err() == nil {
+			g.sample(w.workers.Running())
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	return g
+}
+
+func (g *wholeness) sample(running []standin.Running) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := map[string]int{}
+	for _, r := range running {
+		id, _, _ := strings.Cut(string(r.Lease), "#")
+		counts[id]++
+	}
+	for id, size := range g.sizes {
+		if n := counts[id]; n == 0 || n == size {
+			delete(g.since, id)
+			continue
+		}
+		if g.since[id].IsZero() {
+			g.since[id] = time.Now()
+		}
+		if part := time.Since(g.since[id]); part > g.worst {
+			g.worst, g.which = part, id
+		}
+	}
+}
+
+// longest returns the longest time for which a gang ran in part.
+func (g *wholeness) longest() (time.Duration, string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.worst, g.which
+}
--- a/internal/request/dispatch/table.go
+++ b/internal/request/dispatch/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,16 +26,21 @@
 	busy    int
 	leaving bool
 	service bundle.ServiceName
-	// orders has every order that started or was revoked, until it is forgotten.
+	// orders has every order that waits, started or was revoked, until it is forgotten.
 	orders map[ledger.DispatchID]*order
+	// waiting has the orders that wait for a slot, at most one for each slot.
+	waiting []*order
 	// recent and kept have the orders to be forgotten, oldest first.
 	recent, kept endedList
 	// idle is closed when nothing is running; nil while nobody waits for it.
 	idle chan struct{}
 }
 
-// order is one order that started, or that was revoked before.
+// order is one order that waits, started or was revoked.
 type order struct {
+	Order
+	// start is closed when the order has a slot.
+	start chan struct{}
 	// done is closed when the reply is final.
 	done  chan struct{}
 	reply Reply
@@ -62,13 +68,21 @@
 	defer t.mu.Unlock()
 	t.service = service
 	t.slots = slots
+	if slots == 0 {
+		t.refuseWaiting(RefusedUnreachable)
+	}
+	t.startWaiting()
 }
 
-// Leave makes the table refuse all new orders, or accept them again.
+// Leave makes the table refuse all new orders and those that wait, or accept
+// orders again.
 func (t *Table) Leave(leaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = leaving
+	if leaving {
+		t.refuseWaiting(RefusedLeaving)
+	}
 }
 
 // Load returns the slots, the busy ones, and whether the table is leaving.
@@ -83,18 +97,30 @@
 func (t *Table) Run(ctx context.Context, o Order) Reply {
 	judged, fresh := t.begin(o)
 	if fresh {
-		go func() {
-			within, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.Within)
-			defer cancel()
-			t.end(o, judged, t.run(within, o))
-		}()
+		go t.carryOut(context.WithoutCancel(ctx), judged)
 	}
 	<-judged.done
 	return judged.reply
 }
 
-// begin judges the order. A fresh one must be run; any other has its reply, or
-// gets it from the first order with the same ID.
+// carryOut waits for the order's slot and runs it.
+func (t *Table) carryOut(ctx context.Context, o *order) {
+	ctx, cancel := context.WithTimeout(ctx, o.Within)
+	defer cancel()
+	select {
+	case <-o.start:
+	case <-o.done:
+		return
+	case <-ctx.Done():
+		if t.giveUp(o) {
+			return
+		}
+	}
+	t.end(o, t.run(ctx, o.Order))
+}
+
+// begin judges the order. A fresh one must be carried out; any other has its
+// reply, or gets it from the first order with the same ID.
 func (t *Table) begin(o Order) (judged *order, fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -105,12 +131,52 @@
 	if reason := t.refuse(o); reason != "" {
 		return &order{done: closed(), reply: t.refusal(reason)}, false
 	}
-	t.busy++
-	judged = &order{done: make(chan struct{})}
+	judged = &order{Order: o, start: make(chan struct{}), done: make(chan struct{})}
 	t.orders[o.ID] = judged
+	t.waiting = append(t.waiting, judged)
+	t.startWaiting()
 	return judged, true
 }
 
+// startWaiting gives free slots to waiting orders. The lock must be held.
+func (t *Table) startWaiting() {
+	for len(t.waiting) > 0 && t.busy < t.slots {
+		t.busy++
+		close(t.waiting[0].start)
+		t.waiting = t.waiting[1:]
+	}
+}
+
+// refuseWaiting refuses all orders that wait. The lock must be held.
+func (t *Table) refuseWaiting(reason Refusal) {
+	for _, o := range t.waiting {
+		t.finish(o, t.refusal(reason))
+	}
+	t.waiting = nil
+}
+
+// giveUp takes a waiting order out. It returns false if the order has started.
+func (t *Table) giveUp(o *order) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.unwait(o) {
+		return false
+	}
+	t.finish(o, t.refusal(RefusedFull))
+	return true
+}
+
+// unwait takes the order out of the waiting ones and tells whether it was there.
+// The lock must be held.
+func (t *Table) unwait(o *order) bool {
+	i := slices.Index(t.waiting, o)
+	if i < 0 {
+		return false
+	}
+	t.waiting = slices.Delete(t.waiting, i, i+1)
+	return true
+}
+
 func (t *Table) refuse(o Order) Refusal {
 	switch {
 	case o.Agent != t.self:
@@ -121,7 +187,7 @@
 		return RefusedService
 	case t.slots == 0:
 		return RefusedUnreachable
-	case t.busy >= t.slots:
+	case t.busy >= t.slots && len(t.waiting) >= t.slots:
 		return RefusedFull
 	}
 	return ""
@@ -134,26 +200,33 @@
 	}
 }
 
-// end makes the reply final.
-func (t *Table) end(o Order, started *order, reply Reply) {
+// end makes the reply of an order that ran final and starts the next one.
+func (t *Table) end(o *order, reply Reply) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.busy--
+	t.startWaiting()
 	reply.Slots = t.slots
 	reply.Busy = t.busy
-	started.reply = reply
-	close(started.done)
-	list := &t.recent
-	if o.Keep {
-		list = &t.kept
-	}
-	list.add(endedOrder{id: o.ID, at: time.Now(), bytes: len(reply.Body)})
+	t.finish(o, reply)
 	if t.busy == 0 && t.idle != nil {
 		close(t.idle)
 		t.idle = nil
 	}
 }
 
+// finish makes a reply final and notes when it may be forgotten. A refused order
+// is remembered like a revoked one. The lock must be held.
+func (t *Table) finish(o *order, reply Reply) {
+	o.reply = reply
+	close(o.done)
+	list := &t.recent
+	if o.Keep || reply.Fate == ledger.FateNotRun {
+		list = &t.kept
+	}
+	list.add(endedOrder{id: o.ID, at: time.Now(), bytes: len(reply.Body)})
+}
+
 // forget drops old orders. The lock must be held.
 func (t *Table) forget(now time.Time) {
 	for t.recent.due(now, recentMemory) {
@@ -197,6 +270,9 @@
 	defer t.mu.Unlock()
 	t.forget(time.Now())
 	if known := t.orders[r.ID]; known != nil {
+		if t.unwait(known) {
+			t.finish(known, t.refusal(RefusedRevoked))
+		}
 		return known
 	}
 	if r.Agent != t.self {
--- a/internal/request/gate/backend.go
+++ b/internal/request/gate/backend.go
@@ -32,6 +32,10 @@
 	out    int
 	// latency is the moving mean of answered requests.
 	latency time.Duration
+	// fullUntil keeps requests away after a refusal for want of room; refusals in
+	// a row lengthen it.
+	fullUntil time.Time
+	refusals  int
 	// failures counts failures in a row.
 	failures int
 	// ejectedUntil keeps requests away after failures.
@@ -43,6 +47,8 @@
 const (
 	// shrink is what a refusal leaves of the window.
 	shrink = 0.7
+	// firstFullPause doubles with every refusal in a row, up to the longest.
+	firstFullPause = 25 * time.Millisecond
 	// failuresToEject is the number of failures in a row that eject an agent.
 	failuresToEject = 3
 	// firstEjection doubles with every ejection in a row, up to the longest.
@@ -80,10 +86,14 @@
 	case ResultAnswered:
 		b.failures = 0
 		b.ejections = 0
+		b.refusals = 0
+		b.fullUntil = time.Time{}
 		b.window = min(float64(b.Slots), b.window+1/b.window)
 		b.observe(took)
 	case ResultRefused:
 		b.window = max(1, b.window*shrink)
+		b.fullUntil = now.Add(firstFullPause << min(b.refusals, maxDoublings))
+		b.refusals++
 	case ResultFailed:
 		b.failures++
 		if b.failures >= failuresToEject {
@@ -108,7 +118,9 @@
 }
 
 // roomy tells whether one more request may go out.
-func (b *backend) roomy() bool { return b.Slots > 0 && b.out < int(max(1, b.window)) }
+func (b *backend) roomy(now time.Time) bool {
+	return b.Slots > 0 && b.out < int(max(1, b.window)) && !now.Before(b.fullUntil)
+}
 
 // load is the expected time until a new request is served, up to a factor.
 func (b *backend) load() float64 {
@@ -162,7 +174,7 @@
 	}
 	ignore := float64(ejected) > maxEjected*float64(total)
 	for _, b := range g.agents {
-		if b.Service != a.Service || !b.roomy() || slices.Contains(a.Avoid, b.ID) {
+		if b.Service != a.Service || !b.roomy(now) || slices.Contains(a.Avoid, b.ID) {
 			continue
 		}
 		if now.Before(b.ejectedUntil) && !ignore {
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -200,10 +200,20 @@
 	}
 	if b := g.agents[p.Agent.ID]; b != nil {
 		b.done(now, now.Sub(p.begun), result)
+		if pause := b.fullUntil.Sub(now); pause > 0 {
+			time.AfterFunc(pause, g.readmit)
+		}
 	}
 	g.admit(now)
 }
 
+// readmit lets waiting requests through after a pause.
+func (g *Gate) readmit() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admit(time.Now())
+}
+
 // admit lets waiting requests through while there is room. The lock must be held.
 func (g *Gate) admit(now time.Time) {
 	for _, l := range g.lines {
