internal/process/entry: prove gangs in virtual time, mend the quarantine

Tests: gang starts whole; driver killed at nine moments; driver paused past its lease; all drivers paused; reclaim from borrowers; silent worker; failing worker; poison jobs; cancellation wave; ten minutes without the log; lost answers of log and worker. Cause of the one failure (TestAJobThatFailsEverywhereIsDeadLettered: '1 workers were taken out for the jobs' faults'): tasks that ran before a quarantine counted as failed trials after it, so the quarantine was renewed and not lifted when the jobs were dead-lettered. Only a task after the quarantine's end is a trial now. Ruled out: the jobs' marks themselves, which acquit removes.

--- /dev/null
+++ b/internal/process/entry/export_test.go
@@ -0,0 +1,21 @@
+package entry
+
+import (
+	"time"
+
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/platform"
+)
+
+// Drives tells whether this entry drives the job now.
+func (e *Entry) Drives(organisation, id string) bool {
+	key := ledger.NewJobID(bundle.OrganisationName(organisation), id)
+	epoch := platform.Epoch(0)
+	e.ledger.Look(func(time.Time) {
+		if j := e.state.Job(key); j != nil {
+			epoch = j.Epoch
+		}
+	})
+	return e.driver.Drives(key, epoch)
+}
--- /dev/null
+++ b/internal/process/entry/jobs_test.go
@@ -0,0 +1,399 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"corianderpass/internal/process/standin"
+	"corianderpass/pkg/client"
+	"corianderpass/pkg/platform"
+)
+
+// startBound is how soon urgent work starts where its shape is free.
+const startBound = 1300 * time.Millisecond
+
+// running tells whether all tasks of a job run.
+func (w *world) running(organisation, id string, tasks int) func() bool {
+	return func() bool {
+		n, _ := w.tasksOf(organisation, id)
+		return n == tasks
+	}
+}
+
+func (w *world) ended(organisation, id string) func() bool {
+	return func() bool { return w.job(w.any(), organisation, id).IsEnded() }
+}
+
+func TestAGangStartsWholeAndEnds(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		whole := w.watch(map[string]int{"timber/cut": 6})
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 6, Accelerators: 4, Command: "work 30s"})
+		w.await("start", startBound, w.running("timber", "cut", 6))
+		w.await("end", 40*time.Second, w.ended("timber", "cut"))
+		if s := w.job(w.entries["e2"], "timber", "cut"); s.Outcome != "Succeeded" {
+			t.Errorf("%+v", s)
+		}
+		if part, which := whole.longest(); part > 0 {
+			t.Errorf("%s ran in part for %s", which, part)
+		}
+		again := w.submit(w.entries["e2"], "timber", client.Job{ID: "cut", Tasks: 6, Accelerators: 4, Command: "work 30s"})
+		if again.Outcome != "Succeeded" {
+			t.Errorf("the same job submitted again: %+v", again)
+		}
+	})
+}
+
+func TestImpossibleJobsAreRefusedAtOnce(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		n := w.entries["e1"]
+		for _, j := range []client.Job{
+			{ID: "wide", Tasks: 1, Accelerators: 9},
+			{ID: "many", Tasks: 81, Accelerators: 1},
+			{ID: "cores", Tasks: 1, Accelerators: 1, Cores: 65},
+			{ID: "firm", Tasks: 7, Accelerators: 8, RunOnce: true},
+		} {
+			_, err := n.SubmitJob(w.t.Context(), w.organisation(n, "timber"), j)
+			if e := client.AsError(err); e == nil || e.Code != client.CodeNeverFits || e.Fate != client.FateNotRun {
+				t.Errorf("%s: %v", j.ID, err)
+			}
+		}
+		_, err := n.SubmitJob(w.t.Context(), w.organisation(n, "timber"), client.Job{ID: "none", Tasks: 0, Accelerators: 1})
+		if e := client.AsError(err); e == nil || e.Code != client.CodeInvalid {
+			t.Errorf("no tasks: %v", err)
+		}
+	})
+}
+
+// The failure: the driver of a running gang is killed. Another entry adopts the
+// gang under a higher epoch, and no task starts twice.
+func TestAGangOutlivesItsDriver(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		whole := w.watch(map[string]int{"timber/cut": 8})
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 8, Accelerators: 4, RunOnce: true, Command: "work 120s"})
+		w.await("start", startBound, w.running("timber", "cut", 8))
+		w.kill(w.driverOf("timber", "cut"))
+		w.await("new driver", 10*time.Second, func() bool {
+			n, epochs := w.tasksOf("timber", "cut")
+			return n == 8 && epochs[2] == 8
+		})
+		w.await("end", 130*time.Second, w.ended("timber", "cut"))
+		if s := w.job(w.any(), "timber", "cut"); s.Outcome != "Succeeded" || s.Epoch != 2 {
+			t.Errorf("%+v", s)
+		}
+		if part, which := whole.longest(); part > 0 {
+			t.Errorf("%s ran in part for %s", which, part)
+		}
+	})
+}
+
+// driverOf returns the name of the entry that drives a job.
+func (w *world) driverOf(organisation, id string) string {
+	w.t.Helper()
+	for name, n := range w.entries {
+		if n.Drives(organisation, id) {
+			return name
+		}
+	}
+	w.t.Fatalf("nobody drives %s/%s", organisation, id)
+	return ""
+}
+
+// The failure: the driver is killed at every moment between reservation and
+// start. The gang still runs whole and once.
+func TestADriverMayDieAtAnyMoment(t *testing.T) {
+	for _, after := range []time.Duration{0, 5 * time.Millisecond, 10 * time.Millisecond, 15 * time.Millisecond, 20 * time.Millisecond, 25 * time.Millisecond, 30 * time.Millisecond, 40 * time.Millisecond, 60 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			run(t, func(w *world) {
+				w.start()
+				w.log.SetFaults(standin.LogFaults{Delay: 3 * time.Millisecond})
+				whole := w.watch(map[string]int{"timber/cut": 8})
+				w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 8, Accelerators: 4, Command: "work 20s"})
+				time.Sleep(after)
+				w.kill("e1")
+				w.addEntry("e3", north)
+				w.await("end", 2*time.Minute, w.ended("timber", "cut"))
+				if s := w.job(w.any(), "timber", "cut"); s.Outcome != "Succeeded" {
+					t.Errorf("%+v", s)
+				}
+				if part, which := whole.longest(); part > 0 {
+					t.Errorf("%s ran in part for %s", which, part)
+				}
+			})
+		})
+	}
+}
+
+// The failure: a driver is paused for longer than its leases last. While it
+// sleeps another entry takes over; when it wakes it may do nothing to the gang.
+func TestAPausedDriverDoesNothingUnderItsOldEpoch(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 8, Accelerators: 4, Command: "work 300s"})
+		w.await("start", startBound, w.running("timber", "cut", 8))
+		old := w.driverOf("timber", "cut")
+		other := map[string]string{"e1": "e2", "e2": "e1"}[old]
+		w.entries[old].freeze.Freeze()
+		w.net.Cut(old, other)
+		w.await("new driver", 20*time.Second, func() bool {
+			_, epochs := w.tasksOf("timber", "cut")
+			return epochs[2] == 8
+		})
+		time.Sleep(45 * time.Second)
+		w.net.Heal(old, other)
+		w.entries[old].freeze.Thaw()
+		for range 60 {
+			time.Sleep(time.Second)
+			n, epochs := w.tasksOf("timber", "cut")
+			if n != 8 || epochs[1] != 0 {
+				t.Fatalf("%d tasks, epochs %v", n, epochs)
+			}
+		}
+		w.await("end", 300*time.Second, w.ended("timber", "cut"))
+		if s := w.job(w.any(), "timber", "cut"); s.Outcome != "Succeeded" {
+			t.Errorf("%+v", s)
+		}
+	})
+}
+
+// The failure: everyone who could drive is paused past the leases. The platform
+// ends the tasks; nothing of the old epoch runs on, and the gang starts anew
+// from its checkpoint, whole.
+func TestWithoutAnyDriverAGangEndsWholeAndStartsAnew(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 8, Accelerators: 4, Command: "work 100s"})
+		w.await("start", startBound, w.running("timber", "cut", 8))
+		for _, n := range w.entries {
+			n.freeze.Freeze()
+		}
+		time.Sleep(45 * time.Second)
+		if n, _ := w.tasksOf("timber", "cut"); n != 0 {
+			t.Errorf("%d tasks run on without a lease", n)
+		}
+		for _, n := range w.entries {
+			n.freeze.Thaw()
+		}
+		w.await("new start", 30*time.Second, w.running("timber", "cut", 8))
+		if _, epochs := w.tasksOf("timber", "cut"); epochs[1] != 0 {
+			t.Errorf("epochs %v", epochs)
+		}
+		w.await("end", 150*time.Second, w.ended("timber", "cut"))
+	})
+}
+
+// The failure: borrowed work fills every accelerator when the guarantee is
+// asked for. The bound is grace, lease and margin; without a stuck worker it is
+// far less.
+func TestAGuaranteeIsReclaimedFromBorrowers(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		sizes := map[string]int{"audit/reconcile": 4}
+		for i := range 20 {
+			id := fmt.Sprintf("small-%d", i)
+			sizes["timber/"+id] = 2
+			w.submit(w.entries["e1"], "timber", client.Job{ID: id, Tasks: 2, Accelerators: 2, Command: "work 600s"})
+		}
+		w.await("full", 10*time.Second, func() bool { return len(w.workers.Running()) == 40 })
+		whole := w.watch(sizes)
+		w.submit(w.entries["e2"], "audit", client.Job{ID: "reconcile", Class: "Urgent", Tasks: 4, Accelerators: 8, Cores: 16, Memory: 1024, RunOnce: true, Command: "work 60s"})
+		took := w.await("reclaim", 37*time.Second, w.running("audit", "reconcile", 4))
+		t.Logf("reclaimed after %s", took)
+		if s := w.job(w.any(), "audit", "reconcile"); s.Kind != "Guaranteed" {
+			t.Errorf("%+v", s)
+		}
+		if part, which := whole.longest(); part > 0 {
+			t.Errorf("%s ran in part for %s", which, part)
+		}
+		w.await("all end", 30*time.Minute, func() bool {
+			jobs, err := w.any().Jobs(w.t.Context(), w.organisation(w.any(), "timber"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, j := range jobs {
+				if !j.IsEnded() {
+					return false
+				}
+				if j.Outcome != "Succeeded" {
+					t.Fatalf("%+v", j)
+				}
+			}
+			return true
+		})
+	})
+}
+
+// The failure: a worker stops answering under a running gang. The gang stops
+// whole before the worker's lease lapses, and starts anew elsewhere.
+func TestAGangWithASilentWorkerStopsWholeAndStartsElsewhere(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 4, Accelerators: 8, Command: "work 100s"})
+		w.await("start", startBound, w.running("timber", "cut", 4))
+		silent := platform.WorkerID(w.job(w.any(), "timber", "cut").Tasks[0].Worker)
+		w.workers.SetFaults(silent, standin.WorkerFaults{Away: true})
+		w.await("new start", 2*time.Minute, func() bool {
+			s := w.job(w.any(), "timber", "cut")
+			n, epochs := w.tasksOf("timber", "cut")
+			return s.Epoch == 2 && n == 4 && epochs[2] == 4
+		})
+		for _, p := range w.job(w.any(), "timber", "cut").Tasks {
+			if p.Worker == string(silent) {
+				t.Errorf("placed on the silent worker again")
+			}
+		}
+		w.await("end", 3*time.Minute, w.ended("timber", "cut"))
+	})
+}
+
+// The failure: one worker fails every task. Other jobs must not be lost to it.
+func TestAWorkerThatFailsEverythingIsQuarantined(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.workers.SetFaults("Mazowsze-w004", standin.WorkerFaults{FailTasks: true})
+		for i := range 30 {
+			w.submit(w.entries["e1"], "timber", client.Job{ID: fmt.Sprint("small-", i), Tasks: 1, Accelerators: 8, Command: "work 20s"})
+		}
+		w.await("all end", 10*time.Minute, func() bool {
+			jobs, _ := w.any().Jobs(w.t.Context(), w.organisation(w.any(), "timber"))
+			for _, j := range jobs {
+				if !j.IsEnded() {
+					return false
+				}
+			}
+			return true
+		})
+		jobs, _ := w.any().Jobs(w.t.Context(), w.organisation(w.any(), "timber"))
+		for _, j := range jobs {
+			if j.Outcome != "Succeeded" {
+				t.Errorf("%s: %s %s", j.ID, j.Outcome, j.Error)
+			}
+		}
+		if s := w.any().Status(); s.Away != 1 {
+			t.Errorf("%d workers are away, want the one", s.Away)
+		}
+	})
+}
+
+// The failure: a job that fails wherever it runs. It must end, and must not take
+// the workers with it.
+func TestAJobThatFailsEverywhereIsDeadLettered(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		for i := range 5 {
+			w.submit(w.entries["e1"], "timber", client.Job{ID: fmt.Sprint("poison-", i), Tasks: 2, Accelerators: 2, Command: "fail 2s"})
+		}
+		for i := range 5 {
+			id := fmt.Sprint("poison-", i)
+			w.await(id, 2*time.Minute, w.ended("timber", id))
+			if s := w.job(w.any(), "timber", id); s.Outcome != "DeadLettered" {
+				t.Errorf("%+v", s)
+			}
+		}
+		if s := w.any().Status(); s.Away != 0 {
+			t.Errorf("%d workers were taken out for the jobs' faults", s.Away)
+		}
+	})
+}
+
+// The failure: a wave of cancellations in every phase of the jobs' lives.
+func TestAWaveOfCancellations(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		const count = 60
+		for i := range count {
+			w.submit(w.entries["e1"], "timber", client.Job{ID: fmt.Sprint("job-", i), Tasks: 2, Accelerators: 4, Command: "work 600s"})
+			time.Sleep(7 * time.Millisecond)
+		}
+		ended := make(chan error, count)
+		for i := range count {
+			n := w.entries[[]string{"e1", "e2"}[i%2]]
+			go func() {
+				_, err := n.CancelJob(w.t.Context(), w.organisation(n, "timber"), fmt.Sprint("job-", i))
+				ended <- err
+			}()
+		}
+		for range count {
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		}
+		w.await("all cancelled", 20*time.Second, func() bool {
+			jobs, _ := w.any().Jobs(w.t.Context(), w.organisation(w.any(), "timber"))
+			for _, j := range jobs {
+				if j.Outcome != "Cancelled" {
+					return false
+				}
+			}
+			return len(w.workers.Running()) == 0
+		})
+		w.submit(w.entries["e2"], "timber", client.Job{ID: "after", Tasks: 4, Accelerators: 8, Command: "work 1s"})
+		w.await("free again", startBound, w.running("timber", "after", 4))
+	})
+}
+
+// The failure: the log is down for ten minutes. What runs goes on, nothing is
+// lost or repeated, and all is in order within seconds of its return.
+func TestGangsOutliveALogOutage(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		whole := w.watch(map[string]int{"timber/long": 8, "timber/short": 2})
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "long", Tasks: 8, Accelerators: 4, RunOnce: true, Command: "work 900s"})
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "short", Tasks: 2, Accelerators: 4, RunOnce: true, Command: "work 120s"})
+		w.await("start", startBound, func() bool { return len(w.workers.Running()) == 10 })
+		w.log.SetFaults(standin.LogFaults{Down: true})
+		time.Sleep(time.Second)
+		_, err := w.entries["e1"].SubmitJob(w.t.Context(), w.organisation(w.entries["e1"], "timber"), client.Job{ID: "refused", Tasks: 1, Accelerators: 1})
+		if e := client.AsError(err); e == nil || e.Code != client.CodeLogDown || e.Fate != client.FateNotRun {
+			t.Errorf("submit in the outage: %v", err)
+		}
+		for range 599 {
+			time.Sleep(time.Second)
+			if n, _ := w.tasksOf("timber", "long"); n != 8 {
+				t.Fatalf("%d tasks of the long job run", n)
+			}
+		}
+		w.log.SetFaults(standin.LogFaults{})
+		w.await("the short job's end is recorded", 5*time.Second, w.ended("timber", "short"))
+		if s := w.job(w.any(), "timber", "short"); s.Outcome != "Succeeded" {
+			t.Errorf("%+v", s)
+		}
+		w.submit(w.entries["e2"], "timber", client.Job{ID: "after", Tasks: 1, Accelerators: 1, Command: "work 1s"})
+		w.await("after", startBound, w.running("timber", "after", 1))
+		w.await("long", 320*time.Second, w.ended("timber", "long"))
+		if s := w.job(w.any(), "timber", "long"); s.Outcome != "Succeeded" || s.Epoch != 1 {
+			t.Errorf("%+v", s)
+		}
+		if part, which := whole.longest(); part > 0 {
+			t.Errorf("%s ran in part for %s", which, part)
+		}
+	})
+}
+
+// The failure: answers of the log and of workers are lost in any mix while jobs
+// come and go.
+func TestLostAnswersLoseNoJob(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.log.SetFaults(standin.LogFaults{LoseAnswers: 0.2, LoseAppends: 0.1, Delay: 5 * time.Millisecond, Seed: 4})
+		w.workers.SetFaults("Mazowsze-w002", standin.WorkerFaults{LoseAnswers: true})
+		for i := range 20 {
+			n := w.entries[[]string{"e1", "e2"}[i%2]]
+			id := fmt.Sprint("job-", i)
+			w.await("submit", 2*time.Minute, func() bool {
+				_, err := n.SubmitJob(w.t.Context(), w.organisation(n, "timber"), client.Job{ID: id, Tasks: 2, Accelerators: 4, Command: "work 10s"})
+				return err == nil
+			})
+		}
+		for i := range 20 {
+			id := fmt.Sprint("job-", i)
+			w.await(id, 20*time.Minute, w.ended("timber", id))
+			if s := w.job(w.any(), "timber", id); s.Outcome != "Succeeded" {
+				t.Errorf("%+v", s)
+			}
+		}
+	})
+}
--- a/internal/process/entry/world_test.go
+++ b/internal/process/entry/world_test.go
@@ -45,7 +45,8 @@
 	version uint64
 	// document is the bundle that start rolls.
 	document string
-	regions  []platform.Region
+	// done is closed when the test ends.
+	done chan struct{}
 }
 
 // node is one entry.
@@ -79,7 +80,6 @@
 		w := &world{
 			t: t, net: &standin.Network{}, log: &standin.Log{AppendsPerSecond: 400},
 			keys: map[string]ed25519.PrivateKey{}, entries: map[string]*node{}, agents: map[string]*post{},
-			regions: []platform.Region{north},
 		}
 		shape := platform.Worker{Accelerators: 8, Cores: 64, Memory: 256 << 10}
 		w.workers = standin.NewWorkers(standin.Racks([]string{string(north), string(south)}, 10, 3, shape)...)
@@ -89,8 +89,9 @@
 			w.keys[name] = ed25519.NewKeyFromSeed(seed)
 		}
 		w.document = w.rules("")
+		w.done = make(chan struct{})
+		defer w.stopAll()
 		f(w)
-		w.stopAll()
 	})
 }
 
@@ -218,6 +219,7 @@
 }
 
 func (w *world) stopAll() {
+	close(w.done)
 	for name := range w.entries {
 		w.kill(name)
 	}
@@ -374,9 +376,15 @@
 func (w *world) watch(sizes map[string]int) *wholeness {
 	g := &wholeness{sizes: sizes, since: map[string]time.Time{}}
 	go func() {
-		for w.t.Context().Err() == nil {
-			g.sample(w.workers.Running())
-			time.Sleep(20 * time.Millisecond)
+		tick := time.NewTicker(20 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-w.done:
+				return
+			case <-tick.C:
+				g.sample(w.workers.Running())
+			}
 		}
 	}()
 	return g
--- a/internal/process/ledger/health.go
+++ b/internal/process/ledger/health.go
@@ -99,7 +99,12 @@
 	if !slices.Contains(w.FailedJobs, job) {
 		w.FailedJobs = append(w.FailedJobs, job)
 	}
-	onTrial := !w.QuarantinedUntil.IsZero()
+	quarantined := !w.QuarantinedUntil.IsZero()
+	onTrial := quarantined && !s.now.Before(w.QuarantinedUntil)
+	if quarantined && !onTrial {
+		// The task was there before the quarantine and says nothing new.
+		return
+	}
 	if !onTrial && len(w.FailedJobs) < s.rulebook.Sharing.QuarantineAfter {
 		return
 	}
