internal/process/agent: remember entries that no entry tells of

Cause of TestARollReachesEverybodyUnderFailures ('in force: not within 7s'): an agent cut off from both entries that it had chosen forgot the third one when their word went stale, and fell back to its settings, which named only the two. Ruled out: more copies of each heartbeat, which costs bytes on every node and only shifts the case. Also new: tests for racing operators, signatures, packing at review, start in an outage, retention, a cut region, a lost rack.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -40,7 +40,7 @@
 	table    *dispatch.Table
 	minion   *minion
 	pool     *link.Pool
-	entries  membership.Directory
+	contacts *contacts
 	metrics  *metrics.Set
 
 	sequence atomic.Uint64
@@ -60,10 +60,11 @@
 			ID: self, Role: membership.RoleAgent, Address: s.LinkAddress,
 			Region: s.Region, FailureDomain: s.FailureDomain,
 		},
-		minion:  &minion{dial: minionDial},
-		pool:    link.NewPool(dial),
-		metrics: metrics.NewSet(),
-		wake:    make(chan struct{}, 1),
+		minion:   &minion{dial: minionDial},
+		pool:     link.NewPool(dial),
+		contacts: newContacts(self, s.Entries),
+		metrics:  metrics.NewSet(),
+		wake:     make(chan struct{}, 1),
 	}
 	a.table = dispatch.NewTable(self, a.minion.run)
 	a.registerMetrics()
@@ -104,7 +105,7 @@
 	return link.Table{
 		dispatch.MethodRun: link.Handle(func(ctx context.Context, o dispatch.Order) (dispatch.Reply, error) {
 			reply := a.table.Run(ctx, o)
-			reply.Version = bundle.Version(a.version.Load())
+			reply.Version = a.Version()
 			a.count(o, reply)
 			return reply, nil
 		}),
@@ -195,33 +196,14 @@
 	n, _ := a.minion.present(time.Now())
 	member.Service = n.Service
 	beat := membership.Heartbeat{Member: member, Health: membership.Health{
-		Sequence: a.sequence.Add(1), Version: bundle.Version(a.version.Load()),
+		Sequence: a.sequence.Add(1), Version: a.Version(),
 		Leaving: leaving, Slots: slots, Busy: busy,
 	}}
 	var group sync.WaitGroup
-	for _, address := range a.targets() {
+	for _, address := range a.contacts.choose(time.Now(), heartbeatCopies) {
 		group.Go(func() { a.send(ctx, address, beat) })
 	}
 	group.Wait()
-	a.entries.Sweep(time.Now())
-}
-
-// targets returns the chosen living entries, or those of the settings while
-// none is known.
-func (a *Agent) targets() []link.Address {
-	var addresses []link.Address
-	for _, e := range membership.Rank(string(a.member.ID), a.entries.Entries(a.settings.Region)) {
-		if len(addresses) < heartbeatCopies {
-			addresses = append(addresses, e.Address)
-		}
-	}
-	if len(addresses) > 0 {
-		return addresses
-	}
-	for _, e := range a.settings.Entries {
-		addresses = append(addresses, link.Address(e))
-	}
-	return addresses
 }
 
 func (a *Agent) send(ctx context.Context, address link.Address, beat membership.Heartbeat) {
@@ -230,9 +212,10 @@
 	reply, err := link.Call[membership.HeartbeatReply](ctx, a.pool, address, membership.MethodHeartbeat, beat)
 	if err != nil {
 		a.logger.Debug("heartbeat failed", "entry", address, "error", err)
+		a.contacts.failed(time.Now(), address)
 		return
 	}
-	a.entries.Hear(time.Now(), reply.Entries...)
+	a.contacts.hear(time.Now(), reply.Entries)
 	a.raise(reply.Version)
 }
 
@@ -282,3 +265,6 @@
 	_, busy, _ := a.table.Load()
 	return busy
 }
+
+// Version returns the bundle in force at the agent.
+func (a *Agent) Version() bundle.Version { return bundle.Version(a.version.Load()) }
--- /dev/null
+++ b/internal/process/entry/bundles_test.go
@@ -0,0 +1,272 @@
+package entry_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"corianderpass/internal/process/standin"
+	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/client"
+	"corianderpass/pkg/platform"
+)
+
+// inForceBound is how soon a roll is in force everywhere.
+const inForceBound = 7 * time.Second
+
+// everywhere tells whether all processes have the version in force.
+func (w *world) everywhere(version uint64) func() bool {
+	return func() bool {
+		for _, n := range w.entries {
+			if current := n.InForce(); current == nil || uint64(current.Version) != version {
+				return false
+			}
+		}
+		for _, p := range w.agents {
+			if p.Version() != bundle.Version(version) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestARollIsInForceEverywhereInTime(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.addEntry("s1", south)
+		w.addAgent("b1", south, 8, 0)
+		w.settle()
+		worst := time.Duration(0)
+		for i := range 20 {
+			w.roll(w.rules(fmt.Sprintf("AgeingTime = \"%dm\"\n", i+1)))
+			worst = max(worst, w.await("in force", inForceBound, w.everywhere(w.version)))
+			time.Sleep(time.Duration(i*37) * time.Millisecond)
+		}
+		t.Logf("slowest of 20 rolls: %s", worst)
+		if lagging := w.any().Status().Lagging(); len(lagging) > 0 {
+			time.Sleep(2 * time.Second)
+			if lagging = w.any().Status().Lagging(); len(lagging) > 0 {
+				t.Errorf("the status shows %d processes behind", len(lagging))
+			}
+		}
+	})
+}
+
+// The failure: a roll while entries are killed, an agent is cut off from all but
+// one entry, and another entry starts.
+func TestARollReachesEverybodyUnderFailures(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.addEntry("e3", north)
+		w.settle()
+		w.net.Cut("a1", "e1")
+		w.net.Cut("a1", "e2")
+		time.Sleep(10 * time.Second)
+		w.roll(w.rules("AgeingTime = \"9m\"\n"))
+		w.kill("e1")
+		w.addEntry("e4", north)
+		w.await("in force", inForceBound, w.everywhere(2))
+	})
+}
+
+// The failure: two operators roll at the same moment, again and again. Exactly
+// one of each pair wins, the other is told so, and no process ever goes back.
+func TestOperatorsRace(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		highest := map[string]uint64{}
+		for round := range 20 {
+			base := w.entries["e1"].Bundle().Version
+			outcomes := make(chan error, 2)
+			for i, pair := range [][3]string{{"e1", "ana", "bela"}, {"e2", "bela", "cid"}} {
+				document := w.rules(fmt.Sprintf("AgeingTime = \"%dm\"\n", 100*(i+1)+round))
+				go func() { outcomes <- w.tryRoll(w.entries[pair[0]], pair[1], pair[2], document) }()
+			}
+			won := 0
+			for range 2 {
+				err := <-outcomes
+				e := client.AsError(err)
+				switch {
+				case err == nil:
+					won++
+				case e == nil || e.Fate != client.FateNotRun || e.Code != client.CodeRaced && e.Code != client.CodeNotFound:
+					t.Errorf("round %d: the loser was told %v", round, err)
+				}
+			}
+			if won != 1 {
+				t.Errorf("round %d: %d of two racing rolls won", round, won)
+			}
+			w.await("in force", inForceBound, w.everywhere(base+1))
+			for name, n := range w.entries {
+				if v := uint64(n.InForce().Version); v < highest[name] {
+					t.Errorf("%s went back from %d to %d", name, highest[name], v)
+				} else {
+					highest[name] = v
+				}
+			}
+		}
+	})
+}
+
+func TestABundleNeedsItsSignatures(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		n := w.entries["e1"]
+		document := w.rules("AgeingTime = \"3m\"\n")
+		digest := bundle.DigestOf(1, document)
+		sign := func(name string, a bundle.Action) []byte { return bundle.Sign(w.keys[name], a, digest) }
+		expect := func(what string, err error, code client.Code) {
+			t.Helper()
+			if e := client.AsError(err); e == nil || e.Code != code || e.Fate != client.FateNotRun {
+				t.Errorf("%s: %v, want %s", what, err, code)
+			}
+		}
+		_, err := n.DraftBundle(w.t.Context(), client.Draft{Author: "ana", Base: 1, Document: document, Signature: sign("bela", bundle.ActionDraft)})
+		expect("foreign signature", err, client.CodeUnauthorised)
+		_, err = n.DraftBundle(w.t.Context(), client.Draft{Author: "ana", Base: 0, Document: document, Signature: bundle.Sign(w.keys["ana"], bundle.ActionDraft, bundle.DigestOf(0, document))})
+		expect("old base", err, client.CodeRaced)
+		_, err = n.DraftBundle(w.t.Context(), client.Draft{Author: "ana", Base: 1, Document: "Nonsense = 1", Signature: nil})
+		expect("nonsense", err, client.CodeInvalid)
+		if _, err = n.DraftBundle(w.t.Context(), client.Draft{Author: "ana", Base: 1, Document: document, Signature: sign("ana", bundle.ActionDraft)}); err != nil {
+			t.Fatal(err)
+		}
+		_, err = n.RollBundle(w.t.Context(), client.Consent{Operator: "ana", Digest: string(digest), Signature: sign("ana", bundle.ActionRoll)})
+		expect("no approval", err, client.CodeConflict)
+		_, err = n.ApproveBundle(w.t.Context(), client.Consent{Operator: "ana", Digest: string(digest), Signature: sign("ana", bundle.ActionApprove)})
+		expect("own approval", err, client.CodeConflict)
+		_, err = n.ApproveBundle(w.t.Context(), client.Consent{Operator: "bela", Digest: string(digest), Signature: sign("bela", bundle.ActionRoll)})
+		expect("signature of another step", err, client.CodeUnauthorised)
+		if n.InForce().Version != 1 {
+			t.Errorf("version %d is in force", n.InForce().Version)
+		}
+	})
+}
+
+func TestGuaranteesThatDoNotPackAreRefusedAtReview(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		extra := fmt.Sprintf("[[Organisations]]\nName = \"greedy\"\nHomeRegion = %q\n[[Organisations.Guarantees]]\nName = \"all\"\nRegion = %q\nTasks = 7\nAccelerators = 8\n", north, north)
+		err := w.tryRoll(w.entries["e1"], "ana", "bela", w.rules(extra))
+		if e := client.AsError(err); e == nil || e.Code != client.CodeConflict || e.Fate != client.FateNotRun {
+			t.Errorf("%v", err)
+		}
+	})
+}
+
+// The failure: an entry starts while the log is down. It serves nothing before
+// it has a bundle, takes the bundle in force from a peer, and never an older one.
+func TestAnEntryThatStartsInAnOutageTakesItsBundleFromAPeer(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.roll(w.rules("AgeingTime = \"5m\"\n"))
+		time.Sleep(3 * time.Second)
+		w.log.SetFaults(standin.LogFaults{Down: true})
+		late := w.addEntry("e3", north)
+		if ready, _ := late.Ready(); ready {
+			t.Error("ready without a bundle")
+		}
+		w.await("bundle from a peer", inForceBound, func() bool { ready, _ := late.Ready(); return ready })
+		if v := late.InForce().Version; v != 2 {
+			t.Errorf("version %d", v)
+		}
+		w.await("a request", inForceBound, func() bool {
+			_, err := w.call(late, "", "free", true)
+			return err == nil
+		})
+		if v := late.InForce().Version; v != 2 {
+			t.Errorf("version %d", v)
+		}
+	})
+}
+
+// The failure: all entries end, and the log has trimmed the records of the roll.
+func TestTheBundleOutlivesAllEntriesAndTheRetention(t *testing.T) {
+	run(t, func(w *world) {
+		w.log.KeepTime = 30 * time.Minute
+		w.start()
+		w.submit(w.any(), "timber", client.Job{ID: "long", Tasks: 2, Accelerators: 8, Command: "work 5h"})
+		time.Sleep(time.Hour)
+		w.kill("e1")
+		w.kill("e2")
+		w.addEntry("e3", north)
+		w.await("ready", inForceBound, func() bool { ready, _ := w.entries["e3"].Ready(); return ready })
+		if v := w.entries["e3"].InForce().Version; v != 1 {
+			t.Errorf("version %d", v)
+		}
+		w.await("the gang's new driver", 20*time.Second, func() bool {
+			_, epochs := w.tasksOf("timber", "long")
+			return epochs[2] == 2
+		})
+	})
+}
+
+// The failure: an organisation's home region is another one, and then cut off.
+func TestAnOrganisationIsServedFromAnyRegion(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		s1 := w.addEntry("s1", south)
+		w.addAgent("b1", south, 8, 0)
+		w.settle()
+		answer, err := w.call(s1, "order-1", "order", false)
+		if err != nil || string(answer.Body) != "answer to order" {
+			t.Fatalf("%q, %v", answer.Body, err)
+		}
+		again, err := w.call(w.entries["e2"], "order-1", "order", false)
+		if err != nil || string(again.Body) != string(answer.Body) {
+			t.Fatalf("%q, %v", again.Body, err)
+		}
+		if s := w.submit(s1, "timber", client.Job{ID: "cut", Tasks: 1, Accelerators: 1, Command: "work 1s"}); s.Region != string(north) {
+			t.Errorf("%+v", s)
+		}
+		w.net.Cut("s1", "e1")
+		w.net.Cut("s1", "e2")
+		time.Sleep(10 * time.Second)
+		begun := time.Now()
+		_, err = w.call(s1, "order-2", "order", false)
+		if e := client.AsError(err); e == nil || e.Fate != client.FateNotRun || e.RetryAfter == 0 {
+			t.Errorf("cut off: %v", err)
+		}
+		if took := time.Since(begun); took > 5*time.Second {
+			t.Errorf("told after %s", took)
+		}
+		if _, err := w.call(s1, "", "free", true); err != nil {
+			t.Errorf("a free request in the cut region: %v", err)
+		}
+		w.net.Heal("s1", "e1")
+		w.net.Heal("s1", "e2")
+		w.await("after the cut", 10*time.Second, func() bool {
+			_, err := w.call(s1, "order-2", "order", false)
+			return err == nil
+		})
+		for id, n := range w.runs(w.posts()...) {
+			if n > 1 {
+				t.Errorf("%s ran %d times", id, n)
+			}
+		}
+	})
+}
+
+// The failure: a rack is lost while its guarantees stand, and comes back.
+func TestALostRackMovesGuaranteesOrIsToldAsShortfall(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		gone := func(ids []int, f standin.WorkerFaults) {
+			for _, i := range ids {
+				w.workers.SetFaults(platform.WorkerID(fmt.Sprintf("%s-w%03d", north, i)), f)
+			}
+		}
+		gone([]int{0, 1, 2}, standin.WorkerFaults{Gone: true})
+		time.Sleep(5 * time.Second)
+		if s := w.any().Status(); s.Shortfall != 0 || s.Away != 3 {
+			t.Errorf("one rack lost: %d slots short, %d workers away", s.Shortfall, s.Away)
+		}
+		gone([]int{3, 4, 5, 6}, standin.WorkerFaults{Gone: true})
+		time.Sleep(5 * time.Second)
+		if s := w.any().Status(); s.Shortfall != 1 {
+			t.Errorf("three of ten workers left for four slots: %d short", s.Shortfall)
+		}
+		gone([]int{0, 1, 2, 3, 4, 5, 6}, standin.WorkerFaults{})
+		w.await("no shortfall", time.Minute, func() bool { return w.any().Status().Shortfall == 0 })
+	})
+}
