--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -25,6 +25,8 @@
 type Service interface {
 	// InForce returns the bundle in force, nil before the first.
 	InForce() *bundle.InForce
+	// Leaving tells whether callers should turn to another entry.
+	Leaving() bool
 	// ReaderKeys returns the operators that may read while no bundle is in force.
 	ReaderKeys() []bundle.Operator
 	Serve(ctx context.Context, c Call) (ledger.Answer, error)
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -51,11 +51,20 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, &client.Error{Code: client.CodeNotFound, Fate: client.FateNotRun, Message: "no such path: " + r.Method + " " + r.URL.Path})
 	})
-	n := negroni.New(negroni.NewRecovery())
+	n := negroni.New(negroni.NewRecovery(), negroni.HandlerFunc(h.partFromCallers))
 	n.UseHandler(mux)
 	return n
 }
 
+// partFromCallers ends a connection with its answer while the process is leaving,
+// so that no caller sends a request on one that is about to close.
+func (h *handler) partFromCallers(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	if h.service.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	next(w, r)
+}
+
 // postRequest runs a request.
 func (h *handler) postRequest(w http.ResponseWriter, r *http.Request) {
 	o, err := h.organisation(r)
--- a/internal/connection/link/link.go
+++ b/internal/connection/link/link.go
@@ -50,6 +50,8 @@
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
+	// calls counts calls whose answer is not sent yet.
+	calls sync.WaitGroup
 }
 
 // NewServer returns a server of the table.
@@ -88,7 +90,7 @@
 // ServeConn serves one connection; it returns at once.
 func (s *Server) ServeConn(ctx context.Context, c net.Conn) {
 	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
-	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.answer)), quiet)
+	conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(counted{s, jsonrpc2.HandlerWithError(s.answer)}), quiet)
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
 	s.mu.Unlock()
@@ -101,6 +103,32 @@
 	}()
 }
 
+// counted is a handler whose calls are waited for.
+type counted struct {
+	server  *Server
+	handler jsonrpc2.Handler
+}
+
+// Handle implements jsonrpc2.Handler; it returns once the answer is sent.
+func (c counted) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	c.server.calls.Add(1)
+	defer c.server.calls.Done()
+	c.handler.Handle(ctx, conn, r)
+}
+
+// Drain waits until every call that arrived has its answer, or the context ends.
+func (s *Server) Drain(ctx context.Context) {
+	drained := make(chan struct{})
+	go func() {
+		s.calls.Wait()
+		close(drained)
+	}()
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -28,6 +28,8 @@
 	heartbeatEvery = time.Second
 	// heartbeatCopies is the number of entries that hear each heartbeat.
 	heartbeatCopies = 2
+	// drainTimeout bounds the wait for the last answers to be sent.
+	drainTimeout = 2 * time.Second
 	// heartbeatTimeout bounds one heartbeat.
 	heartbeatTimeout = time.Second
 )
@@ -129,7 +131,8 @@
 	// What serves outlives ctx until the requests under way have ended.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	linkEnded := link.NewServer(a.Table()).Serve(serving, linkListener)
+	server := link.NewServer(a.Table())
+	linkEnded := server.Serve(serving, linkListener)
 	local := &http.Server{Handler: a.localHandler(), ReadHeaderTimeout: 5 * time.Second}
 	localEnded := make(chan error, 1)
 	go func() { localEnded <- local.Serve(localListener) }()
@@ -143,6 +146,9 @@
 		return fmt.Errorf("agent: local server ended: %w", err)
 	}
 	a.Leave(serving)
+	drain, cancel := context.WithTimeout(serving, drainTimeout)
+	defer cancel()
+	server.Drain(drain)
 	_ = local.Close()
 	stop()
 	<-linkEnded
@@ -152,12 +158,19 @@
 	return nil
 }
 
-// Leave refuses new requests, tells the entries, and returns when nothing runs
-// any more or the drain time is over.
+// Leave refuses new requests and tells the entries. It returns when every entry
+// had the time to hear of it and nothing runs any more, or the drain time is over.
 func (a *Agent) Leave(ctx context.Context) {
 	a.leaving.Store(true)
 	a.table.Leave(true)
-	a.beat(ctx)
+	a.hurry()
+	notice := time.NewTimer(a.settings.NoticeTime.Std())
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+		return
+	}
 	drain := time.NewTimer(a.settings.DrainTime.Std())
 	defer drain.Stop()
 	select {
--- a/internal/process/agent/settings.go
+++ b/internal/process/agent/settings.go
@@ -21,7 +21,10 @@
 	LocalAddress string
 	// Entries are the link addresses of some entries of the region.
 	Entries []string
-	// DrainTime is how long a leaving agent waits for running requests.
+	// NoticeTime is how long a leaving agent goes on to refuse requests, so that
+	// every entry hears of it before the agent is gone.
+	NoticeTime bundle.Duration
+	// DrainTime is how long a leaving agent then waits for running requests.
 	DrainTime bundle.Duration
 	// LogLevel is one of Trace, Debug, Info, Warn and Error.
 	LogLevel string
@@ -47,8 +50,8 @@
 	if len(s.Entries) == 0 {
 		return errors.New("Entries is empty: the agent could announce itself to nobody")
 	}
-	if s.DrainTime < 0 {
-		return errors.New("DrainTime is negative")
+	if s.NoticeTime < 0 || s.DrainTime < 0 {
+		return errors.New("NoticeTime or DrainTime is negative")
 	}
 	return nil
 }
--- a/internal/process/command/serve.go
+++ b/internal/process/command/serve.go
@@ -63,7 +63,7 @@
 		ShortHelp:  "Stand beside a minion and hand it requests.",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			s := agent.Settings{DrainTime: defaultDrainTime}
+			s := agent.Settings{NoticeTime: defaultNoticeTime, DrainTime: defaultDrainTime}
 			if done, err := load(c, *path, *check, &s); done || err != nil {
 				return err
 			}
--- a/internal/process/entry/callers.go
+++ b/internal/process/entry/callers.go
@@ -12,3 +12,6 @@
 
 // ReaderKeys returns the operators that may read while no bundle is in force.
 func (e *Entry) ReaderKeys() []bundle.Operator { return e.settings.RootOperators }
+
+// Leaving tells whether callers should turn to another entry.
+func (e *Entry) Leaving() bool { return e.leaving.Load() }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -91,7 +91,7 @@
 		register: &bundle.Register{},
 		state:    ledger.NewState(s.Region),
 		retries:  gate.NewRetryBudget(),
-		gate:     gate.New(s.Region, 1, 0, uint64(time.Now().UnixNano())),
+		gate:     gate.New(s.Region, bundle.DefaultLimits().WaitingRequests, 0, uint64(time.Now().UnixNano())),
 		began:    time.Now(),
 		flights:  map[ledger.ClaimKey]*flight{}, unsettled: map[ledger.ClaimKey]*ledger.Answer{},
 	}
@@ -171,7 +171,8 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	ended := e.Start(serving)
-	linkEnded := link.NewServer(e.Table()).Serve(serving, linkListener)
+	links := link.NewServer(e.Table())
+	linkEnded := links.Serve(serving, linkListener)
 	callerServer := &http.Server{Handler: caller.NewHandler(e, e.logger, e.metrics), ReadHeaderTimeout: 5 * time.Second}
 	adminServer := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: 5 * time.Second}
 	serversEnded := make(chan error, 2)
@@ -185,7 +186,7 @@
 	case err := <-serversEnded:
 		return fmt.Errorf("entry: server ended: %w", err)
 	}
-	e.leave(serving, callerServer)
+	e.leave(serving, callerServer, links)
 	_ = adminServer.Close()
 	stop()
 	<-linkEnded
@@ -196,7 +197,7 @@
 
 // leave lets the balancer and the other processes see that the entry goes, and
 // waits for the requests under way.
-func (e *Entry) leave(ctx context.Context, server *http.Server) {
+func (e *Entry) leave(ctx context.Context, server *http.Server, links *link.Server) {
 	e.Leave(ctx)
 	notice := time.NewTimer(e.settings.NoticeTime.Std())
 	defer notice.Stop()
@@ -210,6 +211,7 @@
 		e.logger.Warn("drain time is over while requests still run", "error", err)
 	}
 	e.background.Wait()
+	links.Drain(drain)
 }
 
 // Leave makes the entry unready and tells the others at once; it goes on to serve.
--- a/internal/version/bundle/parse.go
+++ b/internal/version/bundle/parse.go
@@ -26,13 +26,18 @@
 			QuarantineTime:      Duration(10 * time.Minute),
 			JobMemory:           Duration(24 * time.Hour),
 		},
-		Limits: Limits{
-			RequestMemory:      Duration(10 * time.Minute),
-			RequestTime:        Duration(30 * time.Second),
-			RetryShare:         0.1,
-			PaidBytesPerSecond: 64 << 10,
-			WaitingRequests:    512,
-		},
+		Limits: DefaultLimits(),
+	}
+}
+
+// DefaultLimits returns the limits of a bundle that sets none.
+func DefaultLimits() Limits {
+	return Limits{
+		RequestMemory:      Duration(10 * time.Minute),
+		RequestTime:        Duration(30 * time.Second),
+		RetryShare:         0.1,
+		PaidBytesPerSecond: 64 << 10,
+		WaitingRequests:    512,
 	}
 }
 
