--- /dev/null
+++ b/internal/process/placement/naive.go
@@ -0,0 +1,77 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"corianderpass/internal/process/adjacency"
+	"corianderpass/internal/process/ledger"
+)
+
+// Naive takes the waiting jobs in the order of their arrival and gives each the
+// first accelerators that fit. It is the measure for Policy and the plain
+// reading of what a placement may do.
+type Naive struct{}
+
+// Decide returns placements as Policy.Decide does.
+func (Naive) Decide(s *ledger.State, now time.Time, skip Skip) []ledger.Place {
+	waiting := s.Active(func(j *ledger.Job) bool {
+		return j.Phase == ledger.PhaseWaiting && !j.Cancelled && !skip(j.ID)
+	})
+	if len(waiting) == 0 || s.Bundle() == nil {
+		return nil
+	}
+	sort.SliceStable(waiting, func(a, b int) bool { return waiting[a].Submitted.Before(waiting[b].Submitted) })
+	d := newPlan(Policy{}, s, now)
+	for _, j := range waiting {
+		if len(d.places) == maxDecisions {
+			break
+		}
+		if d.ownGuarantee(j) || d.overQuota(j) {
+			continue
+		}
+		kind := ledger.KindBorrowed
+		if !j.Preemptible {
+			kind = ledger.KindFirm
+		}
+		if gang := d.view.firstFit(shapeOf(j.Spec)); gang != nil {
+			d.add(j, shapeOf(j.Spec), ledger.Place{Kind: kind, Assignments: gang})
+		}
+	}
+	return d.places
+}
+
+// ownGuarantee fills the slots where they stand.
+func (d *plan) ownGuarantee(j *ledger.Job) bool {
+	name, slots := d.state.OpenSlots(j.Spec, d.filled)
+	if slots == nil {
+		return false
+	}
+	d.fill(j, name, slots, d.seats(slots))
+	return true
+}
+
+// firstFit returns the first accelerators that fit, nil if the gang does not.
+func (v *view) firstFit(s shape) []ledger.Assignment {
+	var gang []ledger.Assignment
+	for _, t := range v.sites {
+		set := t.free
+		for range t.fits(s, set) {
+			if len(gang) == s.tasks {
+				return gang
+			}
+			for start := 0; start+s.accelerators <= t.size; start++ {
+				run := adjacency.All(s.accelerators) << start
+				if set&run == run {
+					set &^= run
+					gang = append(gang, ledger.Assignment{Worker: t.id, Accelerators: run})
+					break
+				}
+			}
+		}
+	}
+	if len(gang) < s.tasks {
+		return nil
+	}
+	return gang
+}
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -58,7 +58,7 @@
 	if len(waiting) == 0 || s.Bundle() == nil {
 		return nil
 	}
-	d := &plan{policy: p, state: s, now: now, view: newView(s, now), filled: map[int]bool{}, held: map[bundle.OrganisationName]int{}}
+	d := newPlan(p, s, now)
 	d.order(waiting)
 	for _, j := range waiting {
 		d.large = d.large || !j.Small()
@@ -72,6 +72,13 @@
 	return d.places
 }
 
+func newPlan(p Policy, s *ledger.State, now time.Time) *plan {
+	return &plan{
+		policy: p, state: s, now: now, view: newView(s, now),
+		filled: map[int]bool{}, held: map[bundle.OrganisationName]int{},
+	}
+}
+
 // order sorts the queue: urgent jobs first, then those that waited too long,
 // then by the response ratio, weighted by how little their organisation holds.
 func (d *plan) order(waiting []*ledger.Job) {
@@ -178,14 +185,19 @@
 	if gang == nil {
 		gang = d.seats(slots)
 	}
-	for task := range gang {
-		gang[task].Slot = d.state.Slots()[slots[task]].Index
-	}
-	for _, i := range slots {
+	d.fill(j, name, slots, gang)
+	return true
+}
+
+// fill gives a job the slots, at the places of the gang.
+func (d *plan) fill(j *ledger.Job, name bundle.GuaranteeName, slots []int, gang []ledger.Assignment) {
+	for task, i := range slots {
+		gang[task].Slot = d.state.Slots()[i].Index
 		d.filled[i] = true
 	}
+	first := d.state.Slots()[slots[0]]
+	s := shape{tasks: j.Tasks, accelerators: first.Size, cores: first.Cores, memory: first.Memory}
 	d.add(j, s, ledger.Place{Kind: ledger.KindGuaranteed, Guarantee: name, Assignments: gang})
-	return true
 }
 
 // seats returns the slots' own places.
