internal/process/placement: send small jobs elsewhere for a gang

Change: batch work that can yield borrows first and fills a slot only if it uses half of it; urgent work displaces its own organisation's preemptible batch work; a gang that needs whole workers may send smaller preemptible jobs elsewhere, each at most once in ten minutes, if the room that is left takes them. Ruled out: aborting borrowed work on any claim regardless of room, which only moves the queue. The ledger's properties hold (500 checks).

--- a/cmd/corianderpass-experiment/main.go
+++ b/cmd/corianderpass-experiment/main.go
@@ -24,6 +24,7 @@
 	{"no ageing", placement.Policy{NoAgeing: true}},
 	{"no correction", placement.Policy{NoCorrection: true}},
 	{"no patience", placement.Policy{NoPatience: true}},
+	{"no moves", placement.Policy{NoMoves: true}},
 }
 
 func main() {
--- a/internal/process/ledger/job.go
+++ b/internal/process/ledger/job.go
@@ -145,6 +145,8 @@
 	Outcome     Outcome `json:",omitempty"`
 	Error       string  `json:",omitempty"`
 	Preemptions int     `json:",omitempty"`
+	// Moved is when it was last sent elsewhere to make room.
+	Moved time.Time
 }
 
 // LeaseID returns the lease of one task.
--- a/internal/process/ledger/placing.go
+++ b/internal/process/ledger/placing.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"corianderpass/internal/process/adjacency"
 	"corianderpass/internal/version/bundle"
@@ -137,21 +138,96 @@
 	}
 }
 
-// takeBorrowed gives a preemptible job accelerators that nobody holds.
+// takeBorrowed gives a preemptible job accelerators that nobody holds, or only
+// jobs that the placement sends elsewhere.
 func (s *State) takeBorrowed(j *Job, p Place) error {
+	if err := s.checkMoves(j, p); err != nil {
+		return err
+	}
 	trial := *j
 	trial.Kind = p.Kind
+	free := map[platform.WorkerID]*roomLeft{}
 	for task, a := range p.Assignments {
-		w := s.workers[a.Worker]
-		if w.Free()&a.Accelerators != a.Accelerators || !w.HasRoom(j.Cores, j.Memory) {
-			s.dropTasks(p, j.ID, task)
+		room := free[a.Worker]
+		if room == nil {
+			room = s.workers[a.Worker].roomWithout(p.Moves)
+			free[a.Worker] = room
+		}
+		if !room.take(a.Accelerators, j.Cores, j.Memory) {
 			return fmt.Errorf("%w: %s has no room for task %d", ErrPlacement, a.Worker, task)
 		}
-		w.hold(s.holding(&trial, task, a))
+	}
+	for id := range free {
+		s.sendAway(s.workers[id], p.Moves)
+	}
+	for task, a := range p.Assignments {
+		s.workers[a.Worker].hold(s.holding(&trial, task, a))
 	}
 	return nil
 }
 
+// MoveEvery is the least time between two moves of one job.
+const MoveEvery = 10 * time.Minute
+
+// Movable tells whether a job may be sent elsewhere for another one: it can
+// yield, is smaller, runs, and was not moved lately.
+func (s *State) Movable(victim, gang *Job, now time.Time) bool {
+	return victim.Kind == KindBorrowed && victim.Phase == PhaseRunning && !victim.RunOnce &&
+		2*victim.Demand() <= gang.Demand() && now.Sub(victim.Moved) >= MoveEvery
+}
+
+func (s *State) checkMoves(j *Job, p Place) error {
+	for _, id := range p.Moves {
+		victim := s.jobs[id]
+		if victim == nil || !s.Movable(victim, j, s.now) {
+			return fmt.Errorf("%w: %s cannot be sent elsewhere", ErrPlacement, id)
+		}
+	}
+	return nil
+}
+
+// roomLeft is what a worker could still hold.
+type roomLeft struct {
+	free   platform.AcceleratorSet
+	cores  platform.Cores
+	memory platform.Megabytes
+}
+
+func (r *roomLeft) take(set platform.AcceleratorSet, cores platform.Cores, memory platform.Megabytes) bool {
+	if r.free&set != set || r.cores < cores || r.memory < memory {
+		return false
+	}
+	r.free &^= set
+	r.cores -= cores
+	r.memory -= memory
+	return true
+}
+
+// roomWithout returns the worker's room if the jobs were gone.
+func (w *Worker) roomWithout(gone []JobID) *roomLeft {
+	cores, memory := w.Room()
+	room := &roomLeft{free: w.Free(), cores: cores, memory: memory}
+	for _, h := range w.Holdings {
+		if slices.Contains(gone, h.Job) {
+			room.free |= h.Accelerators
+			room.cores += h.Cores
+			room.memory += h.Memory
+		}
+	}
+	return room
+}
+
+// sendAway drops the holdings of moved jobs on the worker; they must stop as a whole.
+func (s *State) sendAway(w *Worker, moves []JobID) {
+	for i := len(w.Holdings) - 1; i >= 0; i-- {
+		id := w.Holdings[i].Job
+		if slices.Contains(moves, id) {
+			s.jobs[id].Moved = s.now
+			s.preemptHolding(w, i)
+		}
+	}
+}
+
 // dropTasks takes the holdings of the first tasks back.
 func (s *State) dropTasks(p Place, id JobID, count int) {
 	for task := range count {
@@ -188,41 +264,75 @@
 }
 
 // takeGuaranteed fills slots of the organisation's own guarantee, moves them to
-// the assigned accelerators and preempts what stands there.
+// the assigned accelerators and preempts what stands there. Slots whose filler
+// yields are filled where they stand, after all that can fail.
 func (s *State) takeGuaranteed(j *Job, p Place) error {
 	filled, err := s.slotsFor(j, p)
 	if err != nil {
 		return err
 	}
+	if err := s.fillOpen(j, p, filled); err != nil {
+		return err
+	}
+	s.fillYielding(j, p, filled)
+	for _, a := range p.Assignments {
+		s.preempt(s.workers[a.Worker])
+	}
+	return nil
+}
+
+// fillOpen fills the unfilled ones of the slots, or changes nothing.
+func (s *State) fillOpen(j *Job, p Place, filled []int) error {
 	var moved []slotPlace
-	for _, i := range filled {
+	var tasks []int
+	for task, i := range filled {
 		l := s.slots.list[i]
-		moved = append(moved, slotPlace{index: i, worker: l.Worker, set: l.Accelerators})
-		s.unseat(i)
+		if l.Job == "" {
+			tasks = append(tasks, task)
+			moved = append(moved, slotPlace{index: i, worker: l.Worker, set: l.Accelerators})
+			s.unseat(i)
+		}
 	}
-	trial := *j
-	trial.Kind = p.Kind
-	for task, a := range p.Assignments {
-		l := s.slots.list[filled[task]]
+	for n, task := range tasks {
+		a, l := p.Assignments[task], s.slots.list[filled[task]]
 		w := s.workers[a.Worker]
 		room := w.All() &^ w.firm &^ w.reserved
 		if room&a.Accelerators != a.Accelerators || !w.hasFirmRoom(l.Cores, l.Memory) {
-			s.dropTasks(p, j.ID, task)
+			for _, done := range tasks[:n] {
+				s.workers[p.Assignments[done].Worker].dropTask(j.ID, done)
+			}
 			s.putBack(moved)
 			return fmt.Errorf("%w: %s has no room for the slot of task %d", ErrPlacement, a.Worker, task)
 		}
-		h := s.holding(&trial, task, a)
-		h.Cores = l.Cores
-		h.Memory = l.Memory
-		s.setSlot(filled[task], a.Worker, a.Accelerators, j.ID)
-		w.hold(h)
-	}
-	for _, a := range p.Assignments {
-		s.preempt(s.workers[a.Worker])
+		s.fillSlot(j, filled[task], task, a)
 	}
 	return nil
 }
 
+// fillYielding makes the fillers of the other slots preemptible and takes their
+// places; the caller preempts them.
+func (s *State) fillYielding(j *Job, p Place, filled []int) {
+	for task, i := range filled {
+		filler := s.slots.list[i].Job
+		if filler == j.ID {
+			continue
+		}
+		if filler != "" {
+			s.demote(s.jobs[filler])
+		}
+		s.fillSlot(j, i, task, p.Assignments[task])
+	}
+}
+
+// fillSlot gives a slot's accelerators to a task of the job.
+func (s *State) fillSlot(j *Job, slot, task int, a Assignment) {
+	l := s.slots.list[slot]
+	s.setSlot(slot, a.Worker, a.Accelerators, j.ID)
+	s.workers[a.Worker].hold(Holding{
+		Job: j.ID, Task: task, Accelerators: a.Accelerators, Cores: l.Cores, Memory: l.Memory, Firm: true,
+	})
+}
+
 // slotsFor returns the index of the slot that each task fills.
 func (s *State) slotsFor(j *Job, p Place) ([]int, error) {
 	filled := make([]int, 0, len(p.Assignments))
@@ -232,14 +342,27 @@
 			return nil, fmt.Errorf("%w: task %d names no slot of its own", ErrPlacement, task)
 		}
 		l := s.slots.list[i]
-		if l.Job != "" || l.Short() || !l.takes(j.Spec) || a.Accelerators.Count() != l.Size {
+		if l.Short() || !s.yields(l, j.Spec) || !l.takes(j.Spec) || a.Accelerators.Count() != l.Size {
 			return nil, fmt.Errorf("%w: slot %d of %s does not take task %d", ErrPlacement, a.Slot, p.Guarantee, task)
 		}
+		if l.Job != "" && (l.Worker != a.Worker || l.Accelerators != a.Accelerators) {
+			return nil, fmt.Errorf("%w: filled slot %d of %s cannot move", ErrPlacement, a.Slot, p.Guarantee)
+		}
 		filled = append(filled, i)
 	}
 	return filled, nil
 }
 
+// yields tells whether a slot is unfilled, or filled by preemptible batch work
+// of the same organisation while the job is urgent.
+func (s *State) yields(l Slot, spec Spec) bool {
+	if l.Job == "" {
+		return true
+	}
+	filler := s.jobs[l.Job]
+	return spec.Class == ClassUrgent && filler.Class == ClassBatch && filler.Preemptible && filler.Phase == PhaseRunning
+}
+
 func (s *State) findSlot(key slotKey) int {
 	for i, l := range s.slots.list {
 		if l.key() == key {
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -67,6 +67,8 @@
 	Kind        Kind
 	Guarantee   bundle.GuaranteeName `json:",omitempty"`
 	Assignments []Assignment
+	// Moves are smaller preemptible jobs that a borrowed placement sends elsewhere.
+	Moves []JobID `json:",omitempty"`
 }
 
 // Commit tells that every lease of a reserved gang is held. No task starts before it.
--- a/internal/process/ledger/slot.go
+++ b/internal/process/ledger/slot.go
@@ -232,14 +232,23 @@
 	}
 }
 
-// OpenSlots returns the indexes of the unfilled slots with a place of the first
-// guarantee of the job's organisation that can take the whole gang, leaving out
-// those that the caller has given away.
+// OpenSlots returns the indexes of slots with a place of the first guarantee of
+// the job's organisation that can take the whole gang, leaving out those that
+// the caller has given away. They are unfilled, or filled by work that yields.
 func (s *State) OpenSlots(spec Spec, given map[int]bool) (bundle.GuaranteeName, []int) {
+	name, slots := s.findSlots(spec, func(i int, l Slot) bool { return !given[i] && l.Job == "" })
+	if slots == nil && spec.Class == ClassUrgent {
+		return s.findSlots(spec, func(i int, l Slot) bool { return !given[i] && s.yields(l, spec) })
+	}
+	return name, slots
+}
+
+// findSlots returns the slots of the first guarantee of which enough are usable.
+func (s *State) findSlots(spec Spec, usable func(int, Slot) bool) (bundle.GuaranteeName, []int) {
 	counts := map[bundle.GuaranteeName][]int{}
 	name := spec.ID.Organisation()
 	for i, l := range s.slots.list {
-		if l.Organisation != name || l.Short() || l.Job != "" || given[i] || !l.takes(spec) {
+		if l.Organisation != name || l.Short() || !l.takes(spec) || !usable(i, l) {
 			continue
 		}
 		counts[l.Guarantee] = append(counts[l.Guarantee], i)
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -20,6 +20,8 @@
 	NoAgeing bool
 	// NoCorrection takes declared run times as they are.
 	NoCorrection bool
+	// NoMoves never sends small jobs elsewhere to make room for a gang.
+	NoMoves bool
 	// NoPatience lets small jobs break into empty workers at once.
 	NoPatience bool
 }
@@ -135,21 +137,49 @@
 // consider places the job if it can be placed, or sets accelerators aside for
 // it if it is the first that cannot.
 func (d *plan) consider(j *ledger.Job) {
-	if d.guaranteed(j) || d.overQuota(j) {
+	// Batch work that can yield fills a guarantee only if it must: whoever needs
+	// the shape for itself may come any moment.
+	borrowFirst := j.Preemptible && j.Class == ledger.ClassBatch
+	if !borrowFirst && d.guaranteed(j) {
 		return
 	}
+	if !d.overQuota(j) && d.elsewhere(j) {
+		return
+	}
+	if borrowFirst && d.worthSlot(j) && d.guaranteed(j) {
+		return
+	}
+	if !d.blocked {
+		d.block(j)
+	}
+}
+
+// elsewhere places a job that fills no slot.
+func (d *plan) elsewhere(j *ledger.Job) bool {
 	kind := ledger.KindBorrowed
 	if !j.Preemptible {
 		kind = ledger.KindFirm
 	}
-	gang := d.search(j)
-	if gang != nil {
+	if gang := d.search(j); gang != nil {
 		d.add(j, shapeOf(j.Spec), ledger.Place{Kind: kind, Assignments: gang})
-		return
+		return true
 	}
-	if !d.blocked {
-		d.block(j)
+	if kind == ledger.KindFirm {
+		return false
 	}
+	gang, moves := d.searchWithMoves(j)
+	if gang == nil {
+		return false
+	}
+	d.add(j, shapeOf(j.Spec), ledger.Place{Kind: kind, Assignments: gang, Moves: moves})
+	return true
+}
+
+// worthSlot tells whether the job uses at least half of the slots that it would
+// fill, so that it does not preempt others for accelerators that lie idle.
+func (d *plan) worthSlot(j *ledger.Job) bool {
+	_, slots := d.state.OpenSlots(j.Spec, d.filled)
+	return slots != nil && 2*j.Accelerators >= d.state.Slots()[slots[0]].Size
 }
 
 func (d *plan) overQuota(j *ledger.Job) bool {
@@ -176,10 +206,10 @@
 	if slots == nil {
 		return false
 	}
-	first := d.state.Slots()[slots[0]]
-	s := shape{tasks: j.Tasks, accelerators: first.Size, cores: first.Cores, memory: first.Memory, firm: true}
 	gang := d.ownPlaces(slots)
-	if gang == nil {
+	if gang == nil && d.unfilled(slots) {
+		first := d.state.Slots()[slots[0]]
+		s := shape{tasks: j.Tasks, accelerators: first.Size, cores: first.Cores, memory: first.Memory, firm: true}
 		gang = d.view.pick(s, open)
 	}
 	if gang == nil {
@@ -200,6 +230,16 @@
 	d.add(j, s, ledger.Place{Kind: ledger.KindGuaranteed, Guarantee: name, Assignments: gang})
 }
 
+// unfilled tells whether nobody fills any of the slots.
+func (d *plan) unfilled(slots []int) bool {
+	for _, i := range slots {
+		if d.state.Slots()[i].Job != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // seats returns the slots' own places.
 func (d *plan) seats(slots []int) []ledger.Assignment {
 	var gang []ledger.Assignment
