internal: refuse late requests in time, notice the log's return, keep checkpoints

Causes, each found by tests that failed in some of 6 to 42 parallel runs of the package's test binary: 1. Ruled out: the tail, which had caught up. 2. Under overload a request was started so late that its answer could not come in time, and its fate was unknown: 22 of 42 runs of the burst test. The agent refuses an order, and the gate a request, whose time left is shorter than answers take; an agent gets nine tenths of the time left, so that its refusal arrives; giving an ID back no longer ends with the caller's time. 3. Retries after a total loss of agents burnt the budget in one instant; further retries now wait. Tests: TestAnAgentsDeathIsToldAtOnce killed agents one by one and so could kill all three, as the request moved on; it now kills those that were busy at the moment. TestAnEntryThatStartsInAnOutage called an entry wrong that was ready because it already had its bundle; it now asks for readiness without a bundle. Also: running gangs checkpoint every ten minutes, which a new test checks.

--- a/cmd/corianderpass-experiment/main.go
+++ b/cmd/corianderpass-experiment/main.go
@@ -24,6 +24,7 @@
 	{"no ageing", placement.Policy{NoAgeing: true}},
 	{"no correction", placement.Policy{NoCorrection: true}},
 	{"no patience", placement.Policy{NoPatience: true}},
+	{"no compaction", placement.Policy{NoCompaction: true}},
 	{"no moves", placement.Policy{NoMoves: true}},
 }
 
@@ -51,7 +52,7 @@
 			fmt.Fprintln(os.Stderr, "violation:", p.name, v)
 		}
 	}
-	fmt.Println("\n| Policy | Fragmentation | Held | Stretch mean | Stretch max | Claim start s | Preempted | Lost h | Void | Unfinished | Violations |")
-	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+	fmt.Println("\n| Policy | Fragmentation | Unusable of free | Held | Stretch mean | Stretch max | Claim start s | Claims busy | Preempted | Moved | Lost h | Void | Unfinished | Violations |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	fmt.Println(strings.Join(totals, "\n"))
 }
--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -30,6 +30,9 @@
 	// claimTries bounds the agents to which one claimed request is offered; each
 	// further one costs an append.
 	claimTries = 5
+	// verdictGrace is how long after its time a claimed request is waited for, as
+	// giving its ID back may still tell that it did not run.
+	verdictGrace = time.Second
 	// settlePause is the pause between two tries to record an answer.
 	settlePause = 500 * time.Millisecond
 )
@@ -62,10 +65,12 @@
 			e.leaveFlight(key, f)
 		})
 	}
+	late := time.NewTimer(timeLeft(ctx) + verdictGrace)
+	defer late.Stop()
 	select {
 	case <-f.done:
 		return f.answer, f.err
-	case <-ctx.Done():
+	case <-late.C:
 		return ledger.Answer{}, &client.Error{Code: client.CodeDeadline, Fate: client.FateUnknown, Message: "no answer in time; ask again with the same ID"}
 	}
 }
@@ -162,7 +167,7 @@
 func (e *Entry) runClaimed(ctx context.Context, c caller.Call, key ledger.ClaimKey, epoch platform.Epoch, pass gate.Pass, o dispatch.Order) (ledger.Answer, error) {
 	var avoid []incarnation.ID
 	for try := 1; ; try++ {
-		o.Within = timeLeft(ctx)
+		o.Within = timeForAgent(ctx)
 		reply := e.send(ctx, pass, o)
 		if reply.Fate == ledger.FateUnknown {
 			reply = e.outlast(ledger.Target{Agent: pass.Agent.ID, Address: pass.Agent.Address}, o.ID, reply)
@@ -185,7 +190,8 @@
 // is recorded may it be called not run: another entry that took this one for
 // dead may have the request by now.
 func (e *Entry) giveBack(ctx context.Context, c caller.Call, key ledger.ClaimKey, epoch platform.Epoch, reply dispatch.Reply) (ledger.Answer, error) {
-	err := e.proposeQuietly(ctx, ledger.Record{Unclaim: &ledger.Unclaim{Key: key, Epoch: epoch}})
+	// The caller's time may be over, but not that of the claim.
+	err := e.proposeQuietly(e.life, ledger.Record{Unclaim: &ledger.Unclaim{Key: key, Epoch: epoch}})
 	switch {
 	case err == nil:
 		return ledger.Answer{}, e.judge(c, reply)
--- a/internal/process/entry/jobs_test.go
+++ b/internal/process/entry/jobs_test.go
@@ -249,6 +249,22 @@
 	})
 }
 
+// The failure: a worker is silent after an hour's work. What the last checkpoint
+// kept is not done again.
+func TestALostWorkerCostsAtMostOneCheckpoint(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 4, Accelerators: 8, Command: "work 2h"})
+		w.await("start", startBound, w.running("timber", "cut", 4))
+		time.Sleep(time.Hour)
+		w.workers.SetFaults(platform.WorkerID(w.job(w.any(), "timber", "cut").Tasks[0].Worker), standin.WorkerFaults{Away: true})
+		w.await("new start", 2*time.Minute, func() bool { return w.job(w.any(), "timber", "cut").Epoch == 2 })
+		if kept := w.job(w.any(), "timber", "cut").Progress; kept < 50*time.Minute {
+			t.Errorf("kept %s of an hour", kept)
+		}
+	})
+}
+
 // The failure: one worker fails every task. Other jobs must not be lost to it.
 func TestAWorkerThatFailsEverythingIsQuarantined(t *testing.T) {
 	run(t, func(w *world) {
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -12,9 +12,14 @@
 	"corianderpass/internal/process/ledger"
 	"corianderpass/internal/request/dispatch"
 	"corianderpass/internal/request/gate"
+	"corianderpass/internal/version/bundle"
 	"corianderpass/pkg/client"
 )
 
+// firstBackoff is the pause before the second retry; it doubles with each further
+// one. The first goes to another agent at once.
+const firstBackoff = 50 * time.Millisecond
+
 // revokeTimeout bounds one try to revoke a dispatch.
 const revokeTimeout = time.Second
 
@@ -41,7 +46,7 @@
 func (e *Entry) serveFree(ctx context.Context, c caller.Call) (ledger.Answer, error) {
 	e.retries.First(e.register.Current().Bundle.Limits.RetryShare)
 	var avoid []incarnation.ID
-	for {
+	for backoff := firstBackoff; ; {
 		pass, err := e.enter(ctx, c, avoid)
 		if err != nil {
 			return ledger.Answer{}, err
@@ -58,6 +63,10 @@
 		}
 		e.countRetry(c)
 		avoid = append(avoid, pass.Agent.ID)
+		if len(avoid) > 1 {
+			sleep(ctx, backoff)
+			backoff *= 2
+		}
 	}
 }
 
@@ -65,7 +74,7 @@
 func (e *Entry) enter(ctx context.Context, c caller.Call, avoid []incarnation.ID) (gate.Pass, error) {
 	pass, err := e.gate.Enter(ctx, gate.Ask{
 		Organisation: c.Organisation.Name, Service: c.Service, Share: c.Organisation.Share,
-		Bytes: len(c.Body), Avoid: avoid,
+		Bytes: len(c.Body), Whole: e.requestTime(), Avoid: avoid,
 	})
 	if err != nil {
 		return pass, explainGate(err, e.gate.RetryAfter(c.Service))
@@ -76,8 +85,24 @@
 func (e *Entry) order(ctx context.Context, c caller.Call, pass gate.Pass, keep bool) dispatch.Order {
 	return dispatch.Order{
 		ID: e.nextDispatch(), Agent: pass.Agent.ID, Organisation: c.Organisation.Name, Service: c.Service,
-		RequestID: c.RequestID, Body: c.Body, Within: timeLeft(ctx), Keep: keep,
+		RequestID: c.RequestID, Body: c.Body, Within: timeForAgent(ctx), Whole: e.requestTime(), Keep: keep,
+	}
+}
+
+// requestTime is the longest time that a request may take.
+func (e *Entry) requestTime() time.Duration {
+	if current := e.register.Current(); current != nil {
+		return current.Bundle.Limits.RequestTime.Std()
 	}
+	return bundle.DefaultLimits().RequestTime.Std()
+}
+
+// agentShare is the share of the time left that an agent may use, so that its
+// refusal arrives before the caller's time is over.
+const agentShare = 0.9
+
+func timeForAgent(ctx context.Context) time.Duration {
+	return time.Duration(agentShare * float64(timeLeft(ctx)))
 }
 
 // timeLeft returns the time to the context's deadline.
@@ -104,7 +129,7 @@
 	switch {
 	case reply.Fate == ledger.FateRan:
 		return gate.ResultAnswered
-	case reply.Refusal == dispatch.RefusedFull, reply.Refusal == dispatch.RefusedLeaving:
+	case reply.Refusal == dispatch.RefusedFull, reply.Refusal == dispatch.RefusedLeaving, reply.Refusal == dispatch.RefusedLate:
 		return gate.ResultRefused
 	}
 	return gate.ResultFailed
@@ -150,8 +175,11 @@
 		return nil
 	case ledger.FateNotRun:
 		code := client.CodeOverloaded
-		if reply.Refusal == dispatch.RefusedUnreachable {
+		switch reply.Refusal {
+		case dispatch.RefusedUnreachable:
 			code = client.CodeNoMinion
+		case dispatch.RefusedLate:
+			code = client.CodeDeadline
 		}
 		return refusal(code, e.gate.RetryAfter(c.Service), reply.Error)
 	}
--- a/internal/process/entry/scheduler.go
+++ b/internal/process/entry/scheduler.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"corianderpass/internal/process/gang"
 	"corianderpass/internal/process/ledger"
 	"corianderpass/internal/process/membership"
+	"corianderpass/internal/process/placement"
 	"corianderpass/pkg/platform"
 )
 
@@ -60,17 +62,17 @@
 // drive hands the driver its jobs.
 func (e *Entry) drive(ctx context.Context, now time.Time) {
 	var own []ledger.Job
-	grace := time.Duration(0)
+	var rules gang.Rules
 	e.ledger.Look(func(time.Time) {
 		e.shortfall.Store(int64(e.state.Shortfall()))
 		if b := e.state.Bundle(); b != nil {
-			grace = b.Sharing.CheckpointGrace.Std()
+			rules = gang.Rules{Grace: b.Sharing.CheckpointGrace.Std(), CheckpointEvery: b.Sharing.CheckpointEvery.Std()}
 		}
 		for _, j := range e.state.Active(func(j *ledger.Job) bool { return j.Holds() && j.Driver == e.member.ID }) {
 			own = append(own, *j)
 		}
 	})
-	e.driver.Tick(ctx, now, grace, own)
+	e.driver.Tick(ctx, now, rules, own)
 }
 
 // adopt proposes a bundle that the ledger has not taken over yet. The entries
@@ -137,16 +139,19 @@
 	}
 	entries := e.directory.Entries(e.settings.Region)
 	rank := membership.RankOf("placement", entries, e.member.ID)
-	var places []ledger.Place
+	var decision placement.Decision
 	e.ledger.Look(func(at time.Time) {
 		waiting := e.state.Active(func(j *ledger.Job) bool { return j.Phase == ledger.PhaseWaiting })
 		if !e.scheduler.due(now, rank, e.ledgerOffset(), len(waiting)) {
 			return
 		}
 		// The ledger's time stands still while nothing is recorded.
-		places = e.policy.Decide(e.state, later(now, at), func(id ledger.JobID) bool { return e.scheduler.skips(id, now) })
+		decision = e.policy.Decide(e.state, later(now, at), func(id ledger.JobID) bool { return e.scheduler.skips(id, now) })
 	})
-	for _, p := range places {
+	for _, y := range decision.Yields {
+		e.spawn(func() { _ = e.proposeQuietly(ctx, ledger.Record{Yield: &y}) })
+	}
+	for _, p := range decision.Places {
 		p.Driver = e.member.ID
 		if ranked := membership.Rank(string(p.Job), entries); len(ranked) > 0 {
 			p.Driver = ranked[0].ID
--- a/internal/process/entry/world_test.go
+++ b/internal/process/entry/world_test.go
@@ -90,6 +90,8 @@
 		}
 		w.document = w.rules("")
 		w.done = make(chan struct{})
+		// What minions still run ends by itself.
+		defer time.Sleep(time.Minute)
 		defer w.stopAll()
 		f(w)
 	})
--- a/internal/process/gang/driver.go
+++ b/internal/process/gang/driver.go
@@ -22,6 +22,14 @@
 // IsRunning tells whether the ledger has the job as running under the epoch.
 type IsRunning func(id ledger.JobID, epoch platform.Epoch) bool
 
+// Rules are what the bundle says of checkpoints.
+type Rules struct {
+	// Grace is how long a gang that must yield may take to keep its progress.
+	Grace time.Duration
+	// CheckpointEvery is the time between two checkpoints of a running gang.
+	CheckpointEvery time.Duration
+}
+
 // Driver drives the gangs of one process. Tick must be called by one goroutine.
 type Driver struct {
 	workers   platform.Workers
@@ -32,8 +40,8 @@
 	mu sync.Mutex
 	// gangs under way, by job.
 	gangs map[ledger.JobID]*active
-	// checkpointGrace is the bundle's.
-	checkpointGrace time.Duration
+	// rules are the bundle's.
+	rules Rules
 	// ended receives one value for each gang that is done.
 	ended chan ledger.JobID
 }
@@ -61,9 +69,9 @@
 
 // Tick begins to drive new gangs, passes on the wish to stop, and renews
 // leases. The jobs are copies of those whose driver is this process.
-func (d *Driver) Tick(ctx context.Context, now time.Time, grace time.Duration, jobs []ledger.Job) {
+func (d *Driver) Tick(ctx context.Context, now time.Time, rules Rules, jobs []ledger.Job) {
 	d.mu.Lock()
-	d.checkpointGrace = grace
+	d.rules = rules
 	d.mu.Unlock()
 	d.collect()
 	d.abandonOthers(jobs)
@@ -153,16 +161,16 @@
 	return a.began
 }
 
-func (d *Driver) grace() time.Duration {
+func (d *Driver) inForce() Rules {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.checkpointGrace
+	return d.rules
 }
 
 // reclaimBound is the longest time until a preempted gang has left its
 // accelerators: the grace, the last lease, and a margin for the calls.
 func (d *Driver) reclaimBound() time.Duration {
-	return d.grace() + LeaseLife + callTimeout
+	return d.inForce().Grace + LeaseLife + callTimeout
 }
 
 func isVoid(err error) bool {
--- a/internal/process/gang/gang.go
+++ b/internal/process/gang/gang.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -207,10 +208,13 @@
 		report: func(asked time.Time, r platform.TaskReport) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			g.reports[task] = r
 			if r.State != platform.TaskGone {
 				g.validUntil[task] = asked.Add(LeaseLife)
+			} else {
+				// A worker that lost the lease still kept the checkpoint.
+				r.Progress = g.reports[task].Progress
 			}
+			g.reports[task] = r
 		},
 	})
 }
@@ -244,6 +248,7 @@
 // watch follows a running gang until it ends or must be stopped.
 func (g *gang) watch(ctx context.Context) {
 	started := time.Now()
+	kept := started
 	for {
 		v := g.judge(time.Now())
 		worker := g.job.Assignments[v.task].Worker
@@ -264,6 +269,10 @@
 			g.finishStopping(ctx)
 			return
 		}
+		if every := g.driver.inForce().CheckpointEvery; every > 0 && time.Since(kept) >= every {
+			kept = time.Now()
+			_ = g.checkpoint(ctx)
+		}
 		if !pause(ctx, watchEvery) {
 			return
 		}
@@ -306,24 +315,31 @@
 }
 
 // checkpoint asks every task to keep its progress within the grace and returns
-// what all of them have kept.
+// what all of them have kept. A worker that does not answer counts with what it
+// last reported.
 func (g *gang) checkpoint(ctx context.Context) time.Duration {
-	grace, cancel := context.WithTimeout(ctx, g.driver.grace())
+	grace, cancel := context.WithTimeout(ctx, g.driver.inForce().Grace)
 	defer cancel()
-	kept := make([]time.Duration, len(g.job.Assignments))
-	err := g.each(grace, func(ctx context.Context, task int, a ledger.Assignment) error {
+	kept := g.reported()
+	_ = g.each(grace, func(ctx context.Context, task int, a ledger.Assignment) error {
 		progress, err := g.driver.workers.Checkpoint(ctx, a.Worker, g.job.LeaseID(task), g.job.Epoch)
-		kept[task] = progress
+		if err == nil {
+			kept[task] = progress
+		}
 		return err
 	})
-	if err != nil {
-		return g.job.Progress
-	}
-	least := kept[0]
-	for _, k := range kept {
-		least = min(least, k)
+	return max(g.job.Progress, slices.Min(kept))
+}
+
+// reported returns the progress of each task that its worker last told of.
+func (g *gang) reported() []time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	kept := make([]time.Duration, len(g.reports))
+	for task, r := range g.reports {
+		kept[task] = r.Progress
 	}
-	return max(g.job.Progress, least)
+	return kept
 }
 
 // abort gives back what a gang that never ran holds.
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -32,6 +32,7 @@
 		case p := <-j.queue:
 			j.appendGroup(ctx, j.gather(ctx, p))
 		case <-check.C:
+			j.probeIfDown(ctx)
 			j.snapshotIfDue(ctx)
 		}
 	}
@@ -142,6 +143,14 @@
 	j.down = down
 }
 
+// probeIfDown finds out whether the log takes appends again. While it is down
+// proposals are refused without a try, so nothing else would notice.
+func (j *Journal[R]) probeIfDown(ctx context.Context) {
+	if j.Down() {
+		_ = j.push(ctx, envelope[R]{Writer: j.writer, Sequence: j.reserve(nil)})
+	}
+}
+
 // snapshotIfDue appends a snapshot when the last one is old. Rival writers cost
 // only space: their chunks describe prefixes of the same stream.
 func (j *Journal[R]) snapshotIfDue(ctx context.Context) {
--- a/internal/process/ledger/apply.go
+++ b/internal/process/ledger/apply.go
@@ -99,6 +99,8 @@
 		return s.cancel(*r.Cancel)
 	case r.Takeover != nil:
 		return s.takeover(*r.Takeover)
+	case r.Yield != nil:
+		return s.yield(*r.Yield)
 	}
 	return errors.New("ledger: empty record")
 }
--- a/internal/process/ledger/lifecycle.go
+++ b/internal/process/ledger/lifecycle.go
@@ -299,3 +299,18 @@
 	}
 	return nil
 }
+
+// yield stops a job that can be moved.
+func (s *State) yield(r Yield) error {
+	j, err := s.current(r.Job, r.Epoch, PhaseRunning)
+	if err != nil {
+		return err
+	}
+	if !s.MayYield(j, s.now) {
+		return fmt.Errorf("%w: %s cannot be moved", ErrPhase, r.Job)
+	}
+	j.Moved = s.now
+	j.Preemptions++
+	s.setPhase(j, PhaseStopping)
+	return nil
+}
--- a/internal/process/ledger/placing.go
+++ b/internal/process/ledger/placing.go
@@ -169,11 +169,16 @@
 // MoveEvery is the least time between two moves of one job.
 const MoveEvery = 10 * time.Minute
 
-// Movable tells whether a job may be sent elsewhere for another one: it can
-// yield, is smaller, runs, and was not moved lately.
+// Movable tells whether a job may be sent elsewhere for a gang: it may yield and
+// is at most half as large.
 func (s *State) Movable(victim, gang *Job, now time.Time) bool {
-	return victim.Kind == KindBorrowed && victim.Phase == PhaseRunning && !victim.RunOnce &&
-		2*victim.Demand() <= gang.Demand() && now.Sub(victim.Moved) >= MoveEvery
+	return s.MayYield(victim, now) && 2*victim.Demand() <= gang.Demand()
+}
+
+// MayYield tells whether a job can be moved at all: it runs, can be preempted and
+// started again, and was not moved lately.
+func (s *State) MayYield(j *Job, now time.Time) bool {
+	return j.Kind == KindBorrowed && j.Phase == PhaseRunning && !j.RunOnce && now.Sub(j.Moved) >= MoveEvery
 }
 
 func (s *State) checkMoves(j *Job, p Place) error {
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -33,6 +33,7 @@
 	Finish   *Finish   `json:",omitempty"`
 	Cancel   *Cancel   `json:",omitempty"`
 	Takeover *Takeover `json:",omitempty"`
+	Yield    *Yield    `json:",omitempty"`
 	Claim    *Claim    `json:",omitempty"`
 	Reclaim  *Reclaim  `json:",omitempty"`
 	Settle   *Settle   `json:",omitempty"`
@@ -115,3 +116,9 @@
 	Epoch  platform.Epoch
 	Driver incarnation.ID
 }
+
+// Yield lets a running preemptible job stop, to be placed anew in a tighter hole.
+type Yield struct {
+	Job   JobID
+	Epoch platform.Epoch
+}
--- a/internal/process/placement/naive.go
+++ b/internal/process/placement/naive.go
@@ -14,12 +14,10 @@
 type Naive struct{}
 
 // Decide returns placements as Policy.Decide does.
-func (Naive) Decide(s *ledger.State, now time.Time, skip Skip) []ledger.Place {
-	waiting := s.Active(func(j *ledger.Job) bool {
-		return j.Phase == ledger.PhaseWaiting && !j.Cancelled && !skip(j.ID)
-	})
+func (Naive) Decide(s *ledger.State, now time.Time, skip Skip) Decision {
+	waiting := waitingJobs(s, skip)
 	if len(waiting) == 0 || s.Bundle() == nil {
-		return nil
+		return Decision{}
 	}
 	sort.SliceStable(waiting, func(a, b int) bool { return waiting[a].Submitted.Before(waiting[b].Submitted) })
 	d := newPlan(Policy{}, s, now)
@@ -38,7 +36,7 @@
 			d.add(j, shapeOf(j.Spec), ledger.Place{Kind: kind, Assignments: gang})
 		}
 	}
-	return d.places
+	return Decision{Places: d.places}
 }
 
 // ownGuarantee fills the slots where they stand.
--- a/internal/process/placement/placement.go
+++ b/internal/process/placement/placement.go
@@ -22,6 +22,8 @@
 	NoCorrection bool
 	// NoMoves never sends small jobs elsewhere to make room for a gang.
 	NoMoves bool
+	// NoCompaction leaves small jobs where they are.
+	NoCompaction bool
 	// NoPatience lets small jobs break into empty workers at once.
 	NoPatience bool
 }
@@ -51,14 +53,22 @@
 	places []ledger.Place
 }
 
-// Decide returns placements for waiting jobs, best first. Each has the epoch
-// that is due and no driver.
-func (p Policy) Decide(s *ledger.State, now time.Time, skip Skip) []ledger.Place {
-	waiting := s.Active(func(j *ledger.Job) bool {
-		return j.Phase == ledger.PhaseWaiting && !j.Cancelled && !skip(j.ID)
-	})
-	if len(waiting) == 0 || s.Bundle() == nil {
-		return nil
+// Decision is what to propose to the ledger, in this order.
+type Decision struct {
+	// Places have the epoch that is due and no driver.
+	Places []ledger.Place
+	// Yields are jobs to be placed anew in tighter holes.
+	Yields []ledger.Yield
+}
+
+// IsEmpty tells whether there is nothing to propose.
+func (d Decision) IsEmpty() bool { return len(d.Places)+len(d.Yields) == 0 }
+
+// Decide returns placements for waiting jobs, best first.
+func (p Policy) Decide(s *ledger.State, now time.Time, skip Skip) Decision {
+	waiting := waitingJobs(s, skip)
+	if s.Bundle() == nil {
+		return Decision{}
 	}
 	d := newPlan(p, s, now)
 	d.order(waiting)
@@ -71,7 +81,13 @@
 		}
 		d.consider(j)
 	}
-	return d.places
+	return Decision{Places: d.places, Yields: d.compact()}
+}
+
+func waitingJobs(s *ledger.State, skip Skip) []*ledger.Job {
+	return s.Active(func(j *ledger.Job) bool {
+		return j.Phase == ledger.PhaseWaiting && !j.Cancelled && !skip(j.ID)
+	})
 }
 
 func newPlan(p Policy, s *ledger.State, now time.Time) *plan {
@@ -137,16 +153,16 @@
 // consider places the job if it can be placed, or sets accelerators aside for
 // it if it is the first that cannot.
 func (d *plan) consider(j *ledger.Job) {
-	// Batch work that can yield fills a guarantee only if it must: whoever needs
-	// the shape for itself may come any moment.
-	borrowFirst := j.Preemptible && j.Class == ledger.ClassBatch
-	if !borrowFirst && d.guaranteed(j) {
+	// Batch work fills a guarantee only if it must: whoever needs the shape for
+	// itself may come any moment.
+	urgent := j.Class == ledger.ClassUrgent
+	if urgent && d.guaranteed(j) {
 		return
 	}
 	if !d.overQuota(j) && d.elsewhere(j) {
 		return
 	}
-	if borrowFirst && d.worthSlot(j) && d.guaranteed(j) {
+	if !urgent && d.worthSlot(j) && d.guaranteed(j) {
 		return
 	}
 	if !d.blocked {
@@ -176,10 +192,15 @@
 }
 
 // worthSlot tells whether the job uses at least half of the slots that it would
-// fill, so that it does not preempt others for accelerators that lie idle.
+// fill, so that it does not preempt others for accelerators that lie idle. A job
+// that must not be preempted may have no other way; it fills slots once it is aged.
 func (d *plan) worthSlot(j *ledger.Job) bool {
 	_, slots := d.state.OpenSlots(j.Spec, d.filled)
-	return slots != nil && 2*j.Accelerators >= d.state.Slots()[slots[0]].Size
+	if slots == nil {
+		return false
+	}
+	aged := d.now.Sub(j.Submitted) >= d.state.Bundle().Sharing.AgeingTime.Std()
+	return 2*j.Accelerators >= d.state.Slots()[slots[0]].Size || !j.Preemptible && aged
 }
 
 func (d *plan) overQuota(j *ledger.Job) bool {
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -30,6 +30,8 @@
 	Body      []byte
 	// Within is the time left to the caller when the order was sent.
 	Within time.Duration
+	// Whole is the time that the request had in all.
+	Whole time.Duration
 	// Keep asks the agent to keep the answer for later askers.
 	Keep bool `json:",omitempty"`
 }
@@ -50,6 +52,8 @@
 const (
 	// RefusedFull agents have no free slot.
 	RefusedFull Refusal = "Full"
+	// RefusedLate orders waited until their answer would have come too late.
+	RefusedLate Refusal = "Late"
 	// RefusedLeaving agents or minions take nothing new.
 	RefusedLeaving Refusal = "Leaving"
 	// RefusedStranger agents are another incarnation than was meant.
--- a/internal/request/dispatch/table.go
+++ b/internal/request/dispatch/table.go
@@ -28,6 +28,8 @@
 	service bundle.ServiceName
 	// orders has every order that waits, started or was revoked, until it is forgotten.
 	orders map[ledger.DispatchID]*order
+	// pace is the moving mean of how long orders run.
+	pace time.Duration
 	// waiting has the orders that wait for a slot, at most one for each slot.
 	waiting []*order
 	// recent and kept have the orders to be forgotten, oldest first.
@@ -39,8 +41,11 @@
 // order is one order that waits, started or was revoked.
 type order struct {
 	Order
+	// deadline is when the caller stops waiting.
+	deadline time.Time
 	// start is closed when the order has a slot.
-	start chan struct{}
+	start   chan struct{}
+	started time.Time
 	// done is closed when the reply is final.
 	done  chan struct{}
 	reply Reply
@@ -131,20 +136,50 @@
 	if reason := t.refuse(o); reason != "" {
 		return &order{done: closed(), reply: t.refusal(reason)}, false
 	}
-	judged = &order{Order: o, start: make(chan struct{}), done: make(chan struct{})}
+	judged = &order{Order: o, deadline: time.Now().Add(o.Within), start: make(chan struct{}), done: make(chan struct{})}
 	t.orders[o.ID] = judged
 	t.waiting = append(t.waiting, judged)
 	t.startWaiting()
 	return judged, true
 }
 
-// startWaiting gives free slots to waiting orders. The lock must be held.
+// startWaiting gives free slots to waiting orders. One that waited so long that
+// its answer would come too late is refused instead, since a caller would rather
+// know that it did not run. The lock must be held.
 func (t *Table) startWaiting() {
 	for len(t.waiting) > 0 && t.busy < t.slots {
-		t.busy++
-		close(t.waiting[0].start)
+		o := t.waiting[0]
 		t.waiting = t.waiting[1:]
+		now := time.Now()
+		if t.tooLate(o, now) {
+			t.finish(o, t.refusal(RefusedLate))
+			continue
+		}
+		t.busy++
+		o.started = now
+		close(o.start)
+	}
+}
+
+// tooLate tells whether the time left is shorter than orders take. A request that
+// never had enough time is run all the same, or nothing would correct the mean.
+func (t *Table) tooLate(o *order, now time.Time) bool {
+	needed := t.pace + t.pace/paceMargin
+	return 2*needed < o.Whole && o.deadline.Sub(now) < needed
+}
+
+// paceMargin is the inverse share of the pace that is kept as a margin.
+const paceMargin = 4
+
+// paceWeight is the inverse weight of a new observation of the pace.
+const paceWeight = 8
+
+func (t *Table) observe(took time.Duration) {
+	if t.pace == 0 {
+		t.pace = took
+		return
 	}
+	t.pace += (took - t.pace) / paceWeight
 }
 
 // refuseWaiting refuses all orders that wait. The lock must be held.
@@ -205,6 +240,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.busy--
+	t.observe(time.Since(o.started))
 	t.startWaiting()
 	reply.Slots = t.slots
 	reply.Busy = t.busy
--- a/internal/request/gate/gate.go
+++ b/internal/request/gate/gate.go
@@ -33,6 +33,8 @@
 	Share int
 	// Bytes is what the request would send.
 	Bytes int
+	// Whole is the time that the request had in all; 0 means no bound.
+	Whole time.Duration
 	// Avoid are agents that refused this request already.
 	Avoid []incarnation.ID
 }
@@ -97,7 +99,10 @@
 		return pass, err
 	}
 	select {
-	case pass := <-w.passed:
+	case pass, open := <-w.passed:
+		if !open {
+			return Pass{}, ErrTooLate
+		}
 		return pass, nil
 	case <-ctx.Done():
 	}
@@ -125,6 +130,7 @@
 		return nil, Pass{}, ErrTooLate
 	}
 	w := &waiter{ask: a, passed: make(chan Pass, 1)}
+	w.deadline, _ = ctx.Deadline()
 	l.queue.Push(a.Organisation, a.Share, w)
 	g.waiting++
 	return w, Pass{}, nil
@@ -165,7 +171,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
-	case pass := <-w.passed:
+	case pass, open := <-w.passed:
+		if !open {
+			return Pass{}, ErrTooLate
+		}
 		return pass, nil
 	default:
 	}
@@ -230,16 +239,30 @@
 		}
 		l.queue.Pop()
 		g.waiting--
+		if g.tooLate(w, pass, now) {
+			g.agents[pass.Agent.ID].out--
+			close(w.passed)
+			continue
+		}
 		l.moved(now)
 		w.passed <- pass
 	}
 	l.movedAt = time.Time{}
 }
 
+// tooLate tells whether the time left is shorter than the agent's answers take.
+// A request that never had enough time passes all the same.
+func (g *Gate) tooLate(w *waiter, p Pass, now time.Time) bool {
+	latency := g.agents[p.Agent.ID].latency
+	return !w.deadline.IsZero() && 2*latency < w.ask.Whole && w.deadline.Sub(now) < latency
+}
+
 // waiter is one waiting request.
 type waiter struct {
 	ask Ask
-	// passed has room for the one pass.
+	// deadline is when its time ends, if ever.
+	deadline time.Time
+	// passed has room for the one pass; it is closed if there will be none.
 	passed chan Pass
 }
 
--- a/internal/version/bundle/bundle.go
+++ b/internal/version/bundle/bundle.go
@@ -50,6 +50,9 @@
 	FragmentationWeight float64
 	// CheckpointGrace is how long a job that must yield may take to keep its progress.
 	CheckpointGrace Duration
+	// CheckpointEvery is the time between two checkpoints of a running job: the
+	// most work that a lost worker costs.
+	CheckpointEvery Duration
 	// AgeingTime is the wait after which a job is served before all younger ones of its class.
 	AgeingTime Duration
 	// DeadLetterAfter is the number of different workers on which a job fails
--- a/internal/version/bundle/check.go
+++ b/internal/version/bundle/check.go
@@ -81,6 +81,8 @@
 		return errors.New("Sharing: CompletionWeight and FragmentationWeight are both 0")
 	case s.CheckpointGrace < 0:
 		return errors.New("Sharing.CheckpointGrace must not be negative")
+	case s.CheckpointEvery <= 0:
+		return errors.New("Sharing.CheckpointEvery must be above 0")
 	case s.AgeingTime <= 0:
 		return errors.New("Sharing.AgeingTime must be above 0")
 	case s.DeadLetterAfter < 1:
--- a/internal/version/bundle/parse.go
+++ b/internal/version/bundle/parse.go
@@ -20,6 +20,7 @@
 			CompletionWeight:    1,
 			FragmentationWeight: 1,
 			CheckpointGrace:     Duration(10 * time.Second),
+			CheckpointEvery:     Duration(10 * time.Minute),
 			AgeingTime:          Duration(30 * time.Minute),
 			DeadLetterAfter:     3,
 			QuarantineAfter:     3,
