--- a/internal/process/entry/bundles_test.go
+++ b/internal/process/entry/bundles_test.go
@@ -90,7 +90,7 @@
 				switch {
 				case err == nil:
 					won++
-				case e == nil || e.Fate != client.FateNotRun || e.Code != client.CodeRaced && e.Code != client.CodeNotFound:
+				case e == nil || e.Fate != client.FateNotRun || e.Code != client.CodeRaced:
 					t.Errorf("round %d: the loser was told %v", round, err)
 				}
 			}
--- /dev/null
+++ b/internal/process/membership/membership_test.go
@@ -0,0 +1,91 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"corianderpass/internal/process/incarnation"
+	"corianderpass/internal/process/membership"
+)
+
+func beat(id string, sequence uint64, age time.Duration) membership.Heartbeat {
+	return membership.Heartbeat{
+		Member: membership.Member{ID: incarnation.ID(id), Role: membership.RoleEntry, Region: "r"},
+		Health: membership.Health{Sequence: sequence}, Age: age,
+	}
+}
+
+func TestOldNewsBringsNobodyBack(t *testing.T) {
+	var d membership.Directory
+	now := time.Now()
+	d.Hear(now, beat("a", 5, 0))
+	if !d.IsAlive("a") {
+		t.Fatal("not alive after its heartbeat")
+	}
+	now = now.Add(membership.Lifetime)
+	d.Sweep(now)
+	if d.IsAlive("a") {
+		t.Fatal("alive without heartbeats")
+	}
+	d.Hear(now, beat("a", 5, 0), beat("a", 4, 0))
+	if d.IsAlive("a") {
+		t.Fatal("an old heartbeat that came round again brought it back")
+	}
+	d.Hear(now, beat("a", 6, membership.Lifetime))
+	if d.IsAlive("a") {
+		t.Fatal("a heartbeat as old as its lifetime counts")
+	}
+	d.Hear(now, beat("a", 7, time.Second))
+	if !d.IsAlive("a") {
+		t.Fatal("not alive after fresh news")
+	}
+}
+
+// A member that comes or goes moves only the keys that it holds itself.
+func TestRankMovesOnlyWhatItMust(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var members []membership.Heartbeat
+		for i := range rapid.IntRange(2, 12).Draw(t, "members") {
+			members = append(members, beat(fmt.Sprint("m", i), 1, 0))
+		}
+		key := rapid.String().Draw(t, "key")
+		ranked := membership.Rank(key, members)
+		for i, m := range ranked {
+			if got := membership.RankOf(key, members, m.ID); got != i {
+				t.Fatalf("%s ranks %d, RankOf says %d", m.ID, i, got)
+			}
+		}
+		gone := rapid.IntRange(0, len(ranked)-1).Draw(t, "gone")
+		var rest []membership.Heartbeat
+		for i, m := range ranked {
+			if i != gone {
+				rest = append(rest, m)
+			}
+		}
+		for i, m := range membership.Rank(key, rest) {
+			if m.ID != rest[i].ID {
+				t.Fatal("the others changed places")
+			}
+		}
+	})
+}
+
+func TestRankSpreadsKeys(t *testing.T) {
+	var members []membership.Heartbeat
+	for i := range 4 {
+		members = append(members, beat(fmt.Sprintf("entry%d.1796337437072.ab", i), 1, 0))
+	}
+	first := map[incarnation.ID]int{}
+	const keys = 4000
+	for i := range keys {
+		first[membership.Rank(fmt.Sprint("o/job", i), members)[0].ID]++
+	}
+	for id, n := range first {
+		if n < keys/4*8/10 || n > keys/4*12/10 {
+			t.Errorf("%s is first for %d of %d keys", id, n, keys)
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/bundle/bundle_test.go
@@ -0,0 +1,100 @@
+package bundle_test
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"corianderpass/internal/process/journal"
+	"corianderpass/internal/version/bundle"
+)
+
+// key returns an operator's key; the same name gives the same key.
+func key(name string) ed25519.PrivateKey {
+	seed := make([]byte, ed25519.SeedSize)
+	copy(seed, name)
+	return ed25519.NewKeyFromSeed(seed)
+}
+
+// document returns a bundle with the named operators and the given lines.
+func document(operators []string, lines string) string {
+	var b strings.Builder
+	fmt.Fprintln(&b, lines)
+	for _, name := range operators {
+		public := base64.StdEncoding.EncodeToString(key(name).Public().(ed25519.PublicKey))
+		fmt.Fprintf(&b, "[[Operators]]\nName = %q\nPublicKey = %q\n", name, public)
+	}
+	return b.String()
+}
+
+// TestRegister folds the steps of testdata/register: operators race, lose, sign
+// wrongly and are told so.
+func TestRegister(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		register := &bundle.Register{}
+		documents := map[string]string{}
+		offset := journal.Position{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			offset.Offset++
+			var r bundle.Record
+			var name, by, signer string
+			if d.HasArg("draft") {
+				d.ScanArgs(t, "draft", &name)
+				d.ScanArgs(t, "by", &by)
+			}
+			signer = by
+			if d.HasArg("signed") {
+				d.ScanArgs(t, "signed", &signer)
+			}
+			base := 0
+			if d.HasArg("base") {
+				d.ScanArgs(t, "base", &base)
+			}
+			sign := func(a bundle.Action) []byte {
+				return bundle.Sign(key(signer), a, bundle.DigestOf(bundle.Version(base), documents[name]))
+			}
+			digest := func() bundle.Digest { return bundle.DigestOf(bundle.Version(base), documents[name]) }
+			switch d.Cmd {
+			case "parse":
+				if _, err := bundle.Parse(document([]string{"ana", "bela"}, d.Input)); err != nil {
+					return err.Error()
+				}
+				return "valid"
+			case "draft":
+				documents[name] = document([]string{"ana", "bela", "cid"}, d.Input)
+				r.Draft = &bundle.Draft{Author: bundle.OperatorName(by), Base: bundle.Version(base), Document: documents[name], Signature: sign(bundle.ActionDraft)}
+			case "approve":
+				r.Approve = &bundle.Approve{Operator: bundle.OperatorName(by), Digest: digest(), Signature: sign(bundle.ActionApprove)}
+			case "roll":
+				r.Roll = &bundle.Roll{Operator: bundle.OperatorName(by), Digest: digest(), Signature: sign(bundle.ActionRoll)}
+			case "restore":
+				data, err := register.MarshalSnapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				register = &bundle.Register{}
+				if err := register.RestoreSnapshot(data); err != nil {
+					t.Fatal(err)
+				}
+				return state(register)
+			}
+			if err := register.Apply(offset, r); err != nil {
+				text, _, _ := strings.Cut(err.Error(), string(digest()))
+				return "void: " + text
+			}
+			return state(register)
+		})
+	})
+}
+
+func state(g *bundle.Register) string {
+	version := bundle.Version(0)
+	if current := g.Current(); current != nil {
+		version = current.Version
+	}
+	return fmt.Sprintf("in force %d, drafts %d, past %d", version, len(g.Drafts()), len(g.History()))
+}
--- a/internal/version/bundle/check.go
+++ b/internal/version/bundle/check.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -139,6 +140,8 @@
 	switch {
 	case o.Name == "":
 		return errors.New("Name is empty")
+	case strings.ContainsAny(string(o.Name), "/# "):
+		return errors.New("Name must not contain slashes, number signs or spaces, which separate it from IDs")
 	case o.HomeRegion == "":
 		return errors.New("HomeRegion is empty")
 	case o.Share < 1:
--- a/internal/version/bundle/register.go
+++ b/internal/version/bundle/register.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -94,6 +95,8 @@
 	// Drafts are in the order of their records.
 	Drafts  []OpenDraft
 	Current InForce
+	// Beaten are drafts that were dropped because another one was rolled, newest last.
+	Beaten []Digest `json:",omitempty"`
 	// History has the newest release last.
 	History []Release
 }
@@ -214,7 +217,10 @@
 	if g.state.Current.Digest == digest {
 		return fmt.Errorf("%w: %s is in force already as version %d", ErrUnknownDraft, digest, g.state.Current.Version)
 	}
-	return fmt.Errorf("%w: %s (dropped when version %d came into force, or never drafted)", ErrUnknownDraft, digest, g.state.Current.Version)
+	if slices.Contains(g.state.Beaten, digest) {
+		return fmt.Errorf("%w: draft %s was dropped when version %d came into force", ErrRaced, digest, g.state.Current.Version)
+	}
+	return fmt.Errorf("%w: %s", ErrUnknownDraft, digest)
 }
 
 func (g *Register) roll(at journal.Position, r Roll) error {
@@ -248,11 +254,24 @@
 		g.state.History = g.state.History[extra:]
 	}
 	// Every other draft is based on a version that is no longer in force.
-	g.state.Drafts = nil
+	g.drop(d.Digest)
 	g.publish()
 	return nil
 }
 
+// drop forgets all open drafts and remembers those that lost to the winner.
+func (g *Register) drop(winner Digest) {
+	for _, d := range g.state.Drafts {
+		if d.Digest != winner {
+			g.state.Beaten = append(g.state.Beaten, d.Digest)
+		}
+	}
+	if extra := len(g.state.Beaten) - openDrafts; extra > 0 {
+		g.state.Beaten = g.state.Beaten[extra:]
+	}
+	g.state.Drafts = nil
+}
+
 func (g *Register) publish() {
 	current := g.state.Current
 	if current.Version == 0 {
