--- a/internal/request/gate/overload_test.go
+++ b/internal/request/gate/overload_test.go
@@ -225,7 +225,7 @@
 func flood(t *testing.T, load float64, cut, gates bool) *outcome {
 	t.Helper()
 	o := &outcome{useful: map[bundle.OrganisationName]int{}}
-	synctest.Test(t, func(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
 		f := newFleet(cut)
 		var callers []caller
 		for i := range 2 {
