internal: one concept a file for claims, moves and placement

Claims, attaching, settlement, sweeping and forwarding stand apart now, as do moves, order, search and guaranteed placement.

--- /dev/null
+++ b/internal/process/entry/attach.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderpass/internal/connection/caller"
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/incarnation"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/request/dispatch"
+	"corianderpass/pkg/client"
+)
+
+// recheckEvery is how often a waiting caller looks whether the owner died.
+const recheckEvery = 500 * time.Millisecond
+
+// attach waits for the answer of a request that is claimed already. If its owner
+// died, the attached caller resolves the claim.
+func (e *Entry) attach(ctx context.Context, c caller.Call, key ledger.ClaimKey) (ledger.Answer, error) {
+	for {
+		changed := e.ledger.Changed()
+		claim := e.claimOf(key)
+		switch {
+		case claim == nil:
+			return e.fly(ctx, c, key)
+		case claim.BodyDigest != digestOf(c.Body) || claim.Service != c.Service:
+			return ledger.Answer{}, refusal(client.CodeConflict, 0, "the request ID is taken by another service or body")
+		case claim.Answer != nil:
+			return *claim.Answer, e.judge(c, dispatch.Reply{Answer: *claim.Answer})
+		}
+		answer, done, err := e.attachOnce(ctx, c, key, *claim)
+		if done {
+			return answer, err
+		}
+		wait := time.NewTimer(recheckEvery)
+		select {
+		case <-changed:
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			return ledger.Answer{}, &client.Error{Code: client.CodeDeadline, Fate: client.FateUnknown, Message: "the request is still under way; ask again with the same ID"}
+		}
+		wait.Stop()
+	}
+}
+
+// attachOnce asks whoever must know the answer of an open claim: this process,
+// the living owner, or the agent if the owner is gone.
+func (e *Entry) attachOnce(ctx context.Context, c caller.Call, key ledger.ClaimKey, claim ledger.ClaimState) (ledger.Answer, bool, error) {
+	if _, answer := e.own(key); answer != nil {
+		return *answer, true, e.judge(c, dispatch.Reply{Answer: *answer})
+	}
+	if claim.Owner == e.member.ID || !e.directory.IsAlive(claim.Owner) {
+		return e.resolve(ctx, c, key, claim)
+	}
+	ctx, cancel := context.WithTimeout(ctx, recheckEvery+revokeTimeout)
+	defer cancel()
+	got, err := link.Call[awaitAnswer](ctx, e.pool, claim.OwnerAddress, methodAwait, awaitQuery{Key: key, Owner: claim.Owner, Wait: recheckEvery})
+	if err != nil || got.Answer == nil {
+		return ledger.Answer{}, false, nil
+	}
+	return *got.Answer, true, e.judge(c, dispatch.Reply{Answer: *got.Answer})
+}
+
+// methodAwait asks the owner of a claim for the answer.
+const methodAwait link.Method = "Claim.Await"
+
+// awaitQuery asks for the answer of a claim, waiting at most so long.
+type awaitQuery struct {
+	Key   ledger.ClaimKey
+	Owner incarnation.ID
+	Wait  time.Duration
+}
+
+// awaitAnswer has the answer if it is known.
+type awaitAnswer struct {
+	Answer *ledger.Answer `json:",omitempty"`
+}
+
+// giveAnswer answers another entry's callers of a request that runs here.
+func (e *Entry) giveAnswer(ctx context.Context, q awaitQuery) (awaitAnswer, error) {
+	if q.Owner != e.member.ID {
+		return awaitAnswer{}, errors.New("entry: the owner was replaced")
+	}
+	if f, _ := e.own(q.Key); f != nil {
+		wait := time.NewTimer(q.Wait)
+		defer wait.Stop()
+		select {
+		case <-f.done:
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+	}
+	_, answer := e.own(q.Key)
+	return awaitAnswer{Answer: answer}, nil
+}
+
+// resolve finds out what became of a claim whose owner is gone, and runs the
+// request if its dispatch can no longer start. It returns done false if the
+// claim changed meanwhile.
+func (e *Entry) resolve(ctx context.Context, c caller.Call, key ledger.ClaimKey, claim ledger.ClaimState) (ledger.Answer, bool, error) {
+	reply := e.inquire(ctx, claim)
+	switch reply.Fate {
+	case ledger.FateNotRun:
+		pass, err := e.enter(ctx, c, nil)
+		if err != nil {
+			return ledger.Answer{}, true, err
+		}
+		o := e.order(ctx, c, pass, true)
+		if err := e.reclaim(ctx, key, claim.Epoch+1, pass, o); err != nil {
+			return ledger.Answer{}, false, nil
+		}
+		answer, err := e.runClaimed(ctx, c, key, claim.Epoch+1, pass, o)
+		return answer, true, err
+	case ledger.FateRan:
+		e.settleLater(key, claim.Epoch, reply.Answer)
+		return reply.Answer, true, e.judge(c, reply)
+	}
+	if e.directory.IsAlive(claim.Target.Agent) {
+		// It may still run there; ask again.
+		return ledger.Answer{}, false, nil
+	}
+	e.settleLater(key, claim.Epoch, reply.Answer)
+	return ledger.Answer{}, true, e.judge(c, reply)
+}
+
+// inquire asks the agent of a claim what became of it.
+func (e *Entry) inquire(ctx context.Context, claim ledger.ClaimState) dispatch.Reply {
+	reply, err := e.revoke(ctx, claim.Target.Address, dispatch.Revocation{
+		ID: claim.Dispatch, Agent: claim.Target.Agent, Wait: recheckEvery,
+	})
+	if err != nil {
+		return unknown("the agent that had the request does not answer: " + err.Error())
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/process/entry/forward.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderpass/internal/connection/caller"
+	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/process/membership"
+	"corianderpass/pkg/client"
+)
+
+// methodServe runs a call in its organisation's home region.
+const methodServe link.Method = "Caller.Serve"
+
+// forwardedCall is a call on its way to its home region.
+type forwardedCall struct {
+	Call   caller.Call
+	Within time.Duration
+}
+
+// forwardedAnswer is what came of a forwarded call.
+type forwardedAnswer struct {
+	Answer ledger.Answer
+	Error  *client.Error `json:",omitempty"`
+}
+
+// forwardCall lets an entry of the home region serve the call. As the call is
+// claimed there by its ID, it is safe to ask a second entry.
+func (e *Entry) forwardCall(ctx context.Context, c caller.Call) (ledger.Answer, error) {
+	sent := false
+	for _, m := range membership.Rank(c.RequestID, e.directory.Entries(c.Organisation.HomeRegion)) {
+		q := forwardedCall{Call: c, Within: timeLeft(ctx)}
+		answer, err := link.Call[forwardedAnswer](ctx, e.pool, m.Address, methodServe, q)
+		if err == nil && answer.Error == nil {
+			return answer.Answer, nil
+		}
+		if err == nil {
+			return answer.Answer, answer.Error
+		}
+		sent = sent || !errors.Is(err, link.ErrNotSent)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if sent {
+		return ledger.Answer{}, &client.Error{Code: client.CodeUnknownFate, Fate: client.FateUnknown, Message: "no answer from the home region; ask again with the same ID", RetryAfter: readyRetryAfter}
+	}
+	return ledger.Answer{}, refusal(client.CodeNotReady, logRetryAfter, "no entry of the home region "+string(c.Organisation.HomeRegion)+" can be reached")
+}
+
+func (e *Entry) serveForwarded(ctx context.Context, q forwardedCall) (forwardedAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Within)
+	defer cancel()
+	answer, err := e.Serve(ctx, q.Call)
+	if err != nil {
+		return forwardedAnswer{Answer: answer, Error: explain(err)}, nil
+	}
+	return forwardedAnswer{Answer: answer}, nil
+}
--- /dev/null
+++ b/internal/process/entry/settlement.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderpass/internal/process/journal"
+	"corianderpass/internal/process/ledger"
+	"corianderpass/pkg/platform"
+)
+
+// settlePause is the pause between two tries to record or to learn an answer.
+const settlePause = 500 * time.Millisecond
+
+// settleLater records the answer, however long the log is down. The caller need
+// not wait for it; until it is recorded other entries get it from this one.
+func (e *Entry) settleLater(key ledger.ClaimKey, epoch platform.Epoch, answer ledger.Answer) {
+	e.setUnsettled(key, &answer)
+	e.spawn(func() {
+		defer e.setUnsettled(key, nil)
+		for e.life.Err() == nil {
+			err := e.proposeQuietly(e.life, ledger.Record{Settle: &ledger.Settle{Key: key, Epoch: epoch, Answer: answer}})
+			if err == nil || isVoid(err) || e.leaving.Load() {
+				return
+			}
+			sleep(e.life, settlePause)
+		}
+	})
+}
+
+// setUnsettled notes an answer that is not recorded yet; nil forgets it.
+func (e *Entry) setUnsettled(key ledger.ClaimKey, answer *ledger.Answer) {
+	e.flightsMu.Lock()
+	defer e.flightsMu.Unlock()
+	if answer == nil {
+		delete(e.unsettled, key)
+		return
+	}
+	e.unsettled[key] = answer
+}
+
+// own returns the request's flight or unrecorded answer in this process.
+func (e *Entry) own(key ledger.ClaimKey) (*flight, *ledger.Answer) {
+	e.flightsMu.Lock()
+	defer e.flightsMu.Unlock()
+	return e.flights[key], e.unsettled[key]
+}
+
+// isVoid tells whether an error is a machine's judgement.
+func isVoid(err error) bool {
+	var void *journal.VoidError
+	return errors.As(err, &void)
+}
--- /dev/null
+++ b/internal/process/entry/sweep.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"corianderpass/internal/process/ledger"
+	"corianderpass/internal/process/membership"
+)
+
+const (
+	// sweepEvery is the time between two looks at claims that nobody answers for.
+	sweepEvery = time.Second
+	// sweepAge is how old an open claim is before it is looked at.
+	sweepAge = 2 * time.Second
+)
+
+// sweepClaims resolves claims that nobody answers for: their owner died, or it
+// never learned that its claim was recorded.
+func (e *Entry) sweepClaims(ctx context.Context) {
+	rank := membership.RankOf("sweep", e.directory.Entries(e.settings.Region), e.member.ID)
+	if time.Since(e.began) < settleIn || !e.ledger.CaughtUp() || e.ledger.Down() {
+		return
+	}
+	var keys []ledger.ClaimKey
+	e.ledger.Look(func(at time.Time) { keys = e.state.OpenClaims(later(time.Now(), at), sweepAge) })
+	for _, key := range keys {
+		claim := e.claimOf(key)
+		if claim == nil || claim.Answer != nil {
+			continue
+		}
+		if f, answer := e.own(key); f != nil || answer != nil {
+			continue
+		}
+		orphan := rank == 0 && !e.directory.IsAlive(claim.Owner)
+		if claim.Owner == e.member.ID || orphan {
+			e.sweepClaim(ctx, key, *claim)
+		}
+	}
+}
+
+func (e *Entry) sweepClaim(ctx context.Context, key ledger.ClaimKey, claim ledger.ClaimState) {
+	reply := e.inquire(ctx, claim)
+	switch {
+	case reply.Fate == ledger.FateNotRun:
+		_ = e.proposeQuietly(ctx, ledger.Record{Unclaim: &ledger.Unclaim{Key: key, Epoch: claim.Epoch}})
+	case reply.Fate == ledger.FateRan || !e.directory.IsAlive(claim.Target.Agent):
+		_ = e.proposeQuietly(ctx, ledger.Record{Settle: &ledger.Settle{Key: key, Epoch: claim.Epoch, Answer: reply.Answer}})
+	}
+}
--- /dev/null
+++ b/internal/process/ledger/moving.go
@@ -0,0 +1,76 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderpass/pkg/platform"
+)
+
+// MoveEvery is the least time between two moves of one job.
+const MoveEvery = 10 * time.Minute
+
+// Movable tells whether a job may be sent elsewhere for a gang: it may yield and
+// is at most half as large.
+func (s *State) Movable(victim, gang *Job, now time.Time) bool {
+	return s.MayYield(victim, now) && 2*victim.Demand() <= gang.Demand()
+}
+
+// MayYield tells whether a job can be moved at all: it runs, can be preempted and
+// started again, and was not moved lately.
+func (s *State) MayYield(j *Job, now time.Time) bool {
+	return j.Kind == KindBorrowed && j.Phase == PhaseRunning && !j.RunOnce && now.Sub(j.Moved) >= MoveEvery
+}
+
+func (s *State) checkMoves(j *Job, p Place) error {
+	for _, id := range p.Moves {
+		victim := s.jobs[id]
+		if victim == nil || !s.Movable(victim, j, s.now) {
+			return fmt.Errorf("%w: %s cannot be sent elsewhere", ErrPlacement, id)
+		}
+	}
+	return nil
+}
+
+// roomLeft is what a worker could still hold.
+type roomLeft struct {
+	free   platform.AcceleratorSet
+	cores  platform.Cores
+	memory platform.Megabytes
+}
+
+func (r *roomLeft) take(set platform.AcceleratorSet, cores platform.Cores, memory platform.Megabytes) bool {
+	if r.free&set != set || r.cores < cores || r.memory < memory {
+		return false
+	}
+	r.free &^= set
+	r.cores -= cores
+	r.memory -= memory
+	return true
+}
+
+// roomWithout returns the worker's room if the jobs were gone.
+func (w *Worker) roomWithout(gone []JobID) *roomLeft {
+	cores, memory := w.Room()
+	room := &roomLeft{free: w.Free(), cores: cores, memory: memory}
+	for _, h := range w.Holdings {
+		if slices.Contains(gone, h.Job) {
+			room.free |= h.Accelerators
+			room.cores += h.Cores
+			room.memory += h.Memory
+		}
+	}
+	return room
+}
+
+// sendAway drops the holdings of moved jobs on the worker; they must stop as a whole.
+func (s *State) sendAway(w *Worker, moves []JobID) {
+	for i := len(w.Holdings) - 1; i >= 0; i-- {
+		id := w.Holdings[i].Job
+		if slices.Contains(moves, id) {
+			s.jobs[id].Moved = s.now
+			s.preemptHolding(w, i)
+		}
+	}
+}
--- a/internal/process/placement/forecast.go
+++ b/internal/process/placement/forecast.go
@@ -11,6 +11,15 @@
 // farAway is the forecast of a job for which no end of running jobs makes room.
 const farAway = 365 * 24 * time.Hour
 
+// block makes the job the head of the queue: what is free now and what frees
+// first is kept for it, and others may use it only if they end before.
+func (d *plan) block(j *ledger.Job) {
+	d.blocked = true
+	gang, at := d.forecast(j)
+	d.shadow = at
+	d.view.keep(gang)
+}
+
 // forecast tells where and when the job could start if running jobs ended as
 // expected. The gang is nil if they never make room.
 func (d *plan) forecast(j *ledger.Job) ([]ledger.Assignment, time.Time) {
--- /dev/null
+++ b/internal/process/placement/order.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	"corianderpass/internal/process/ledger"
+)
+
+// order sorts the queue: urgent jobs first, then those that waited too long,
+// then by the response ratio, weighted by how little their organisation holds.
+func (d *plan) order(waiting []*ledger.Job) {
+	type rank struct {
+		urgent, aged bool
+		score        float64
+	}
+	ranks := make(map[ledger.JobID]rank, len(waiting))
+	ageing := d.state.Bundle().Sharing.AgeingTime.Std()
+	for _, j := range waiting {
+		wait := d.now.Sub(j.Submitted)
+		ranks[j.ID] = rank{
+			urgent: j.Class == ledger.ClassUrgent,
+			aged:   !d.policy.NoAgeing && wait >= ageing,
+			score:  d.score(j, wait),
+		}
+	}
+	sort.SliceStable(waiting, func(a, b int) bool {
+		x, y := ranks[waiting[a].ID], ranks[waiting[b].ID]
+		switch {
+		case x.urgent != y.urgent:
+			return x.urgent
+		case x.aged != y.aged:
+			return x.aged
+		case x.aged:
+			return waiting[a].Submitted.Before(waiting[b].Submitted)
+		}
+		return x.score > y.score
+	})
+}
+
+// score is the response ratio, the wait and the run over the run, times the
+// organisation's share for each accelerator that it would hold.
+func (d *plan) score(j *ledger.Job, wait time.Duration) float64 {
+	run := max(time.Second, d.runTime(j))
+	ratio := 1.0
+	if !d.policy.NoAgeing {
+		ratio += float64(wait) / float64(run)
+	}
+	o, known := d.state.Bundle().Organisation(j.ID.Organisation())
+	if !known {
+		return 0
+	}
+	return ratio * float64(o.Share) / float64(d.state.Held(o.Name)+j.Demand())
+}
+
+func (d *plan) runTime(j *ledger.Job) time.Duration {
+	if d.policy.NoCorrection {
+		return max(0, j.RunTime-j.Progress)
+	}
+	return d.state.ExpectedRunTime(j)
+}
