internal: keep tasks to what they claimed, and a quiet stream's time

What was missing: usage reports were read by nobody, although workers have no guards. Drivers throttle a task that uses more cores than it claimed and end a gang whose task outgrew its memory, with the reason and without blaming the worker. Cause found by its test ('ended 1m20s after its start', a task of 100 s): a stream's time moves by at most a minute an envelope, so a quiet stream fell behind, and with it every expiry, quarantine and age. Ruled out: the stand-in's clock and the throttling.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -129,6 +129,7 @@
 		every(ctx, scheduleEvery, e.schedule),
 		every(ctx, observeEvery, e.observe),
 		every(ctx, sweepEvery, e.sweepClaims),
+		every(ctx, policeEvery, e.police),
 	}
 	ended := make(chan error, 1)
 	go func() {
--- a/internal/process/entry/jobs_test.go
+++ b/internal/process/entry/jobs_test.go
@@ -315,6 +315,29 @@
 	})
 }
 
+// The failure: declared sizes are far from the truth. What uses more cores is
+// throttled, what outgrows its memory ends with the reason, and neither costs a
+// worker its trust.
+func TestWhatOutgrowsItsClaimIsThrottledOrStopped(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "greedy", Tasks: 2, Accelerators: 2, Cores: 8, Memory: 1000, Command: "use 16 900 100s"})
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "huge", Tasks: 2, Accelerators: 2, Cores: 8, Memory: 1000, Command: "use 8 5000 600s"})
+		w.await("the huge one ends", time.Minute, w.ended("timber", "huge"))
+		if s := w.job(w.any(), "timber", "huge"); s.Outcome != "Failed" || s.Error == "" {
+			t.Errorf("%+v", s)
+		}
+		begun := time.Now()
+		w.await("the greedy one ends", 4*time.Minute, w.ended("timber", "greedy"))
+		if s := w.job(w.any(), "timber", "greedy"); s.Outcome != "Succeeded" || s.Ended.Sub(s.Started) < 150*time.Second {
+			t.Errorf("ended %s after its start (%s): %+v", s.Ended.Sub(s.Started), time.Since(begun), s)
+		}
+		if s := w.any().Status(); s.Away != 0 {
+			t.Errorf("%d workers were taken out", s.Away)
+		}
+	})
+}
+
 // The failure: a wave of cancellations in every phase of the jobs' lives.
 func TestAWaveOfCancellations(t *testing.T) {
 	run(t, func(w *world) {
--- a/internal/process/entry/observer.go
+++ b/internal/process/entry/observer.go
@@ -50,3 +50,22 @@
 	}
 	return news
 }
+
+// policeEvery is the time between two looks at usage reports, which cover the
+// whole region and lag anyway.
+const policeEvery = 30 * time.Second
+
+// police lets the driver keep its tasks to what they claimed.
+func (e *Entry) police(ctx context.Context) {
+	if e.driver.Busy() == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	usage, err := e.workers.Usage(call, e.settings.Region)
+	if err != nil {
+		e.logger.Debug("usage cannot be read", "error", err)
+		return
+	}
+	e.driver.Police(ctx, usage)
+}
--- a/internal/process/gang/gang.go
+++ b/internal/process/gang/gang.go
@@ -44,6 +44,8 @@
 	reports []platform.TaskReport
 	// validUntil is when each lease lapses at the earliest, by the own clock.
 	validUntil []time.Time
+	// outgrown says why the gang must end because of its own size.
+	outgrown string
 	// stop is closed when the ledger wants the gang to stop.
 	stop     chan struct{}
 	stopOnce sync.Once
@@ -268,6 +270,9 @@
 		case g.stopping():
 			g.finishStopping(ctx)
 			return
+		case g.tooLarge() != "":
+			g.finishOutgrown(ctx, g.tooLarge())
+			return
 		}
 		if every := g.driver.inForce().CheckpointEvery; every > 0 && time.Since(kept) >= every {
 			kept = time.Now()
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -95,6 +95,8 @@
 	// lastSnapshotSeen the moment at which it passed by, or the start.
 	lastSnapshot     platform.Offset
 	lastSnapshotSeen time.Time
+	// lastFolded is the moment of the last fold.
+	lastFolded time.Time
 	// sequence is the number of the last envelope that this writer built.
 	sequence uint64
 	assembly assembly
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -328,6 +328,40 @@
 	})
 }
 
+// The failure: nothing is recorded for a day, and for an hour the log is down. The
+// stream's time must not fall behind by more than its step, or what waits for
+// it, an expiry say, waits far too long.
+func TestAQuietStreamKeepsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		a, b := start(t, log, "a", journal.Options{}), start(t, log, "b", journal.Options{})
+		defer a.stop()
+		defer b.stop()
+		if err := a.propose(t, "word", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		lag := func() time.Duration {
+			var seen time.Time
+			b.Look(func(now time.Time) { seen = now })
+			return time.Since(seen)
+		}
+		time.Sleep(24 * time.Hour)
+		if behind := lag(); behind > time.Minute {
+			t.Errorf("after a quiet day %s behind", behind)
+		}
+		log.SetFaults(standin.LogFaults{Down: true})
+		time.Sleep(time.Hour)
+		log.SetFaults(standin.LogFaults{})
+		time.Sleep(90 * time.Second)
+		if behind := lag(); behind > time.Minute {
+			t.Errorf("90 s after an hour's outage %s behind", behind)
+		}
+		if appends, _ := log.Counts(); appends > 25*3600/20 {
+			t.Errorf("%d appends to keep time", appends)
+		}
+	})
+}
+
 func TestAForeignPayloadIsVoid(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := &standin.Log{}
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -135,6 +135,7 @@
 	if offset <= j.folder.offset {
 		return
 	}
+	j.lastFolded = time.Now()
 	result, fresh := j.folder.fold(offset, e)
 	if !fresh || result.writer != j.writer {
 		return
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -16,14 +16,16 @@
 	groupLimit = 256
 	// appendTimeout bounds one try of an append.
 	appendTimeout = 2 * time.Second
-	// snapshotCheck is the pause between two looks at the age of the last snapshot.
-	snapshotCheck = time.Second
+	// checkEvery is the pause between two looks at what is due besides proposals.
+	checkEvery = time.Second
+	// quietTime is how long a stream may go without an envelope.
+	quietTime = 30 * time.Second
 )
 
 // write appends proposals, one group at a time, for as long as the context
 // lasts. Only one append is in flight, so that sequences reach the log in order.
 func (j *Journal[R]) write(ctx context.Context) error {
-	check := time.NewTicker(snapshotCheck)
+	check := time.NewTicker(checkEvery)
 	defer check.Stop()
 	for {
 		select {
@@ -33,6 +35,7 @@
 			j.appendGroup(ctx, j.gather(ctx, p))
 		case <-check.C:
 			j.probeIfDown(ctx)
+			j.keepTime(ctx)
 			j.snapshotIfDue(ctx)
 		}
 	}
@@ -151,6 +154,24 @@
 	}
 }
 
+// keepTime appends an empty envelope to a quiet stream. As one envelope moves the
+// stream's time by a bounded step, a stream without records would fall behind.
+func (j *Journal[R]) keepTime(ctx context.Context) {
+	if j.timeIsDue() {
+		_ = j.push(ctx, envelope[R]{Writer: j.writer, Sequence: j.reserve(nil)})
+	}
+}
+
+func (j *Journal[R]) timeIsDue() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.caughtUp || j.down || j.folder.offset == 0 {
+		return false
+	}
+	behind := time.Since(time.UnixMilli(j.folder.time)) > maxTimeStep
+	return behind || time.Since(j.lastFolded) >= j.spread(quietTime)
+}
+
 // snapshotIfDue appends a snapshot when the last one is old. Rival writers cost
 // only space: their chunks describe prefixes of the same stream.
 func (j *Journal[R]) snapshotIfDue(ctx context.Context) {
@@ -181,14 +202,14 @@
 	if fresh >= j.options.SnapshotEvery {
 		return true
 	}
-	return j.folder.offset > 0 && time.Since(j.lastSnapshotSeen) >= j.snapshotAge()
+	return j.folder.offset > 0 && time.Since(j.lastSnapshotSeen) >= j.spread(j.options.SnapshotAge)
 }
 
-// snapshotAge spreads the writers of one stream over a fifth of the age, so
-// that mostly one of them writes.
-func (j *Journal[R]) snapshotAge() time.Duration {
+// spread shortens a time by up to a fifth, differently for each writer of a
+// stream, so that mostly one of them does what is due.
+func (j *Journal[R]) spread(d time.Duration) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(j.writer))
 	share := float64(h.Sum32()) / math.MaxUint32
-	return j.options.SnapshotAge - time.Duration(share*float64(j.options.SnapshotAge)/5)
+	return d - time.Duration(share*float64(d)/5)
 }
--- a/internal/process/ledger/lifecycle.go
+++ b/internal/process/ledger/lifecycle.go
@@ -248,7 +248,7 @@
 		j.FailedOn = append(j.FailedOn, r.Worker)
 	}
 	switch {
-	case j.RunOnce:
+	case j.RunOnce, r.Final:
 		s.end(j, OutcomeFailed, r.Error)
 	case len(j.FailedOn) >= s.rulebook.Sharing.DeadLetterAfter:
 		s.acquit(j.ID)
@@ -256,7 +256,7 @@
 	default:
 		s.requeue(j)
 	}
-	if j.Outcome != OutcomeDeadLettered {
+	if j.Outcome != OutcomeDeadLettered && !r.Final {
 		s.blame(r.Worker, j.ID)
 	}
 	return nil
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -99,9 +99,11 @@
 
 // Finish tells that a running gang ended by itself and gave its leases back.
 type Finish struct {
-	Job     JobID
-	Epoch   platform.Epoch
-	Failed  bool
+	Job    JobID
+	Epoch  platform.Epoch
+	Failed bool
+	// Final failures are the job's own and not tried again.
+	Final   bool              `json:",omitempty"`
 	Error   string            `json:",omitempty"`
 	Worker  platform.WorkerID `json:",omitempty"`
 	RanTime time.Duration
--- a/internal/process/standin/workers.go
+++ b/internal/process/standin/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"strings"
 	"sync"
@@ -15,8 +16,8 @@
 
 // Workers is an in-memory set of workers. It is safe for concurrent use.
 //
-// A task's command is "work DURATION" or "fail DURATION"; anything else works
-// for a second.
+// A task's command is "work DURATION", "fail DURATION" or "use CORES MEGABYTES
+// DURATION"; anything else works for a second.
 type Workers struct {
 	mu      sync.Mutex
 	workers map[platform.WorkerID]*worker
@@ -59,6 +60,9 @@
 type plan struct {
 	length time.Duration
 	fails  bool
+	// cores and memory are what it uses; 0 means what it claimed.
+	cores  platform.Cores
+	memory platform.Megabytes
 }
 
 func parsePlan(command string) plan {
@@ -71,6 +75,10 @@
 		p.length = d
 	}
 	p.fails = words[0] == "fail"
+	if words[0] == "use" && len(words) == 4 {
+		_, _ = fmt.Sscan(words[1], &p.cores)
+		_, _ = fmt.Sscan(words[2], &p.memory)
+	}
 	return p
 }
 
@@ -333,10 +341,22 @@
 		m.refresh(now)
 		for _, l := range m.leases {
 			if l.state == platform.TaskRunning && l.progress >= usageLag {
-				usage = append(usage, platform.Usage{ID: l.ID, Cores: l.Claim.Cores, Memory: l.Claim.Memory})
+				usage = append(usage, l.usage())
 			}
 		}
 	}
 	sort.Slice(usage, func(i, j int) bool { return usage[i].ID < usage[j].ID })
 	return usage, nil
 }
+
+// usage returns what a task uses, throttled as it is.
+func (l *heldLease) usage() platform.Usage {
+	u := platform.Usage{ID: l.ID, Cores: l.Claim.Cores, Memory: l.Claim.Memory}
+	if l.plan.cores > 0 {
+		u.Cores = platform.Cores(float64(l.plan.cores) * l.share)
+	}
+	if l.plan.memory > 0 {
+		u.Memory = l.plan.memory
+	}
+	return u
+}
