internal: tests that fail without the mechanism they are for

Five tests did not notice and were sharpened: placements may not raise the shortfall; nothing starts before every lease is held; a repeated envelope; the end of a short outage; an owner that was taken for dead; long requests at a leaving agent.

--- a/cmd/corianderpass/processes_test.go
+++ b/cmd/corianderpass/processes_test.go
@@ -361,10 +361,15 @@
 		case 200:
 			s.signal("agent0", syscall.SIGTERM)
 		}
+		body := "sleep 50ms order"
+		if i > 190 && i <= 200 {
+			// These run for longer than the agent's last answers are waited for.
+			body = "sleep 4s order"
+		}
 		room <- struct{}{}
 		group.Go(func() {
 			defer func() { <-room }()
-			request := client.Request{Service: "evidence", Body: []byte("sleep 50ms order")}
+			request := client.Request{Service: "evidence", Body: []byte(body)}
 			if _, err := callers[s.balance(i%2)].Do(t.Context(), request); err != nil {
 				failures <- fmt.Errorf("request %d: %w", i, err)
 			}
--- a/internal/process/entry/claims.go
+++ b/internal/process/entry/claims.go
@@ -167,6 +167,10 @@
 			e.settleLater(key, epoch, reply.Answer)
 			return reply.Answer, e.judge(c, reply)
 		}
+		if reply.Refusal == dispatch.RefusedRevoked {
+			// Another entry took this one for dead and has a caller for the request.
+			return e.attach(ctx, c, key)
+		}
 		avoid = append(avoid, pass.Agent.ID)
 		next, err := e.retarget(ctx, c, key, epoch, avoid, try)
 		if err != nil {
--- a/internal/process/entry/jobs_test.go
+++ b/internal/process/entry/jobs_test.go
@@ -315,6 +315,26 @@
 	})
 }
 
+// The failure: one of the workers of a gang does not answer when the leases are
+// taken. Nothing starts on the others before all are held.
+func TestNothingStartsBeforeEveryLeaseIsHeld(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		w.workers.SetFaults("Mazowsze-w004", standin.WorkerFaults{Away: true})
+		whole := w.watch(map[string]int{"timber/cut": 10})
+		w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 10, Accelerators: 8, Command: "work 10s"})
+		time.Sleep(30 * time.Second)
+		if n, _ := w.tasksOf("timber", "cut"); n != 0 {
+			t.Errorf("%d tasks run", n)
+		}
+		w.workers.SetFaults("Mazowsze-w004", standin.WorkerFaults{})
+		w.await("end", 2*time.Minute, w.ended("timber", "cut"))
+		if part, which := whole.longest(); part > 0 {
+			t.Errorf("%s ran in part for %s", which, part)
+		}
+	})
+}
+
 // The failure: declared sizes are far from the truth. What uses more cores is
 // throttled, what outgrows its memory ends with the reason, and neither costs a
 // worker its trust.
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -93,6 +93,61 @@
 	}
 }
 
+// The failure: the owner of a claim is cut off before its order arrives. Another
+// entry takes it for dead, makes sure at the agent that it cannot start, and runs
+// the request. When the cut heals the owner must not call it "not run".
+func TestAnOwnerTakenForDeadNeverSaysNotRun(t *testing.T) {
+	run(t, func(w *world) {
+		w.start()
+		owner := w.entries["e1"]
+		// The owner has connections to all agents, so that its order is lost on one
+		// and not refused at the dialling.
+		warm := make(chan error, 20)
+		for range 20 {
+			go func() {
+				_, err := w.call(owner, "", "sleep 100ms warm", true)
+				warm <- err
+			}()
+		}
+		for range 20 {
+			if err := <-warm; err != nil {
+				t.Fatal(err)
+			}
+		}
+		away := []string{"e2", "a0", "a1", "a2"}
+		for _, name := range away {
+			w.net.Cut("e1", name)
+		}
+		type outcome struct {
+			answer ledger.Answer
+			err    error
+		}
+		told := make(chan outcome, 1)
+		go func() {
+			answer, err := w.call(owner, "order-1", "order", false)
+			told <- outcome{answer, err}
+		}()
+		time.Sleep(5 * time.Second)
+		answer, err := w.call(w.entries["e2"], "order-1", "order", false)
+		if err != nil || string(answer.Body) != "answer to order" {
+			t.Errorf("the other entry: %q, %v", answer.Body, err)
+		}
+		for _, name := range away {
+			w.net.Heal("e1", name)
+		}
+		o := <-told
+		if e := client.AsError(o.err); e != nil && e.Fate == client.FateNotRun {
+			t.Errorf("the owner said %v of a request that ran", o.err)
+		}
+		if o.err == nil && string(o.answer.Body) != "answer to order" {
+			t.Errorf("the owner answered %q", o.answer.Body)
+		}
+		if runs := w.runs(w.posts()...)["timber/order-1"]; runs != 1 {
+			t.Errorf("ran %d times", runs)
+		}
+	})
+}
+
 // The failure: the agent that runs a request dies. A request that is not
 // repeatable is answered "unknown" at once; a repeatable one runs elsewhere.
 func TestAnAgentsDeathIsToldAtOnce(t *testing.T) {
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -105,6 +105,8 @@
 		{LoseAnswers: 0.5, Seed: 1},
 		{LoseAppends: 0.5, Seed: 2},
 		{LoseAnswers: 0.4, LoseAppends: 0.4, Delay: 20 * time.Millisecond, Seed: 3},
+		// The tail is slower than the writer's next try.
+		{LoseAnswers: 0.5, Delay: 300 * time.Millisecond, Seed: 4},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			log := &standin.Log{AppendsPerSecond: 400}
@@ -162,6 +164,47 @@
 	})
 }
 
+// The failure: an append arrives again, at once and after later ones.
+func TestARepeatedEnvelopeIsFoldedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		a := start(t, log, "a", journal.Options{})
+		defer a.stop()
+		for _, sequence := range []int{1, 1, 2, 1, 2, 3} {
+			payload := fmt.Sprintf(`{"Writer":"w","Sequence":%d,"Time":%d,"Records":["word%d"]}`, sequence, time.Now().UnixMilli(), sequence)
+			if _, err := log.Append(t.Context(), "words", []byte(payload)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		for sequence := 1; sequence <= 3; sequence++ {
+			if n := a.count(fmt.Sprint("word", sequence)); n != 1 {
+				t.Errorf("sequence %d was folded %d times", sequence, n)
+			}
+		}
+	})
+}
+
+// The failure: an outage that nothing else ends than the next proposal, which is
+// refused while the log is thought to be down.
+func TestTheEndOfAnOutageIsNoticed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		a := start(t, log, "a", journal.Options{})
+		defer a.stop()
+		log.SetFaults(standin.LogFaults{Down: true})
+		if err := a.propose(t, "during", time.Hour); !errors.Is(err, journal.ErrNotAppended) {
+			t.Fatalf("verdict %v, want ErrNotAppended", err)
+		}
+		time.Sleep(time.Minute)
+		log.SetFaults(standin.LogFaults{})
+		time.Sleep(3 * time.Second)
+		if err := a.propose(t, "after", time.Second); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // The failure: a caller gives up while the fate of its append is open. The
 // answer must say so, and the proposal may take effect later but only once.
 func TestAnUnknownFateIsNotCalledRefused(t *testing.T) {
--- a/internal/process/ledger/property_test.go
+++ b/internal/process/ledger/property_test.go
@@ -50,10 +50,14 @@
 	m.last = &r
 	m.offset++
 	before := snapshot(t, m.state)
+	short := m.state.Shortfall()
 	err := m.state.Apply(journal.Position{Offset: m.offset, Time: m.now, Writer: "test"}, r)
 	if err != nil && r.Observe == nil && !bytes.Equal(stripTime(before), stripTime(snapshot(t, m.state))) {
 		t.Fatalf("a void record changed the state: %v\nbefore %s\nafter  %s", err, before, snapshot(t, m.state))
 	}
+	if r.Place != nil && m.state.Shortfall() > short {
+		t.Fatalf("a placement took the place of %d guaranteed slots: %+v", m.state.Shortfall()-short, *r.Place)
+	}
 	return err
 }
 
