internal/process/gang: renew old gangs rarely, and wait for leases that may have been prolonged

Causes: (a) docs/CAPACITY arithmetic: 717 workers of a region renewed every 10 s by three entries are 36 KB a second each, over 19. (b) Found while changing that, by TestAProlongedLeaseOfASilentWorkerIsWaitedFor ('tasks of two epochs run: map[1:1 2:4]'): a renewal whose answer was lost prolonged the lease of a worker that then fell silent, and the gang started anew while that part still ran. Change: the interval is a sixtieth of the gang's age, 0.5 to 40 s, and the life three intervals, 30 to 120 s; every call that may prolong a lease counts when it is sent. Ruled out for (a): more entries, which the users do not have. TestALostWorkerCostsAtMostOneCheckpoint waits 4 minutes instead of 2 for the new start: its gang is an hour old, so that its lease may last 120 s; what it asks, the kept work, is the same.

--- a/internal/process/gang/driver.go
+++ b/internal/process/gang/driver.go
@@ -170,7 +170,7 @@
 // reclaimBound is the longest time until a preempted gang has left its
 // accelerators: the grace, the last lease, and a margin for the calls.
 func (d *Driver) reclaimBound() time.Duration {
-	return d.inForce().Grace + LeaseLife + callTimeout
+	return d.inForce().Grace + MaxLeaseLife + callTimeout
 }
 
 func isVoid(err error) bool {
--- a/internal/process/gang/gang.go
+++ b/internal/process/gang/gang.go
@@ -20,9 +20,10 @@
 	parallelCalls = 32
 	// retryPause is the pause between two tries to acquire a lease that is taken.
 	retryPause = 50 * time.Millisecond
-	// lapseMargin is how long before its lease lapses a gang is stopped, so that
-	// all parts end before one of them is ended by its worker.
-	lapseMargin = LeaseLife / 3
+	// lapseShare is the share of a lease's life after which a gang that was not
+	// renewed is stopped, so that all parts end before one of them is ended by its
+	// worker.
+	lapseShare = 2.0 / 3
 	// watchEvery is the pause between two looks at a running gang.
 	watchEvery = 100 * time.Millisecond
 	// awayAfter is how many failed calls in a row make a worker count as away.
@@ -42,8 +43,9 @@
 	mu sync.Mutex
 	// reports has the newest word on each task.
 	reports []platform.TaskReport
-	// validUntil is when each lease lapses at the earliest, by the own clock.
-	validUntil []time.Time
+	// validUntil is when each lease has lapsed for certain, answered or not, and
+	// stopAt when the gang must be stopped if it is not renewed.
+	validUntil, stopAt []time.Time
 	// outgrown says why the gang must end because of its own size.
 	outgrown string
 	// stop is closed when the ledger wants the gang to stop.
@@ -57,6 +59,7 @@
 		job:        j,
 		reports:    make([]platform.TaskReport, len(j.Assignments)),
 		validUntil: make([]time.Time, len(j.Assignments)),
+		stopAt:     make([]time.Time, len(j.Assignments)),
 		stop:       make(chan struct{}),
 	}
 }
@@ -161,6 +164,9 @@
 			return errors.New("gang: asked to stop")
 		}
 		asked := time.Now()
+		g.mu.Lock()
+		g.mayLast(task, asked.Add(callTimeout+LeaseLife))
+		g.mu.Unlock()
 		err := g.call(ctx, func(ctx context.Context) error { return g.driver.workers.Acquire(ctx, a.Worker, lease) })
 		switch {
 		case err == nil:
@@ -203,15 +209,21 @@
 // hold notes a taken lease and begins to renew it.
 func (g *gang) hold(task int, a ledger.Assignment, asked time.Time) {
 	g.mu.Lock()
-	g.validUntil[task] = asked.Add(LeaseLife)
+	g.prolong(task, asked, LeaseLife)
 	g.mu.Unlock()
 	g.driver.renewer.add(a.Worker, g.job.LeaseID(task), &renewal{
 		epoch: g.job.Epoch,
-		report: func(asked time.Time, r platform.TaskReport) {
+		since: g.driver.began(g.job.ID, g.job.Epoch),
+		asking: func(lapses time.Time) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.mayLast(task, lapses)
+		},
+		report: func(asked time.Time, life time.Duration, r platform.TaskReport) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			if r.State != platform.TaskGone {
-				g.validUntil[task] = asked.Add(LeaseLife)
+				g.prolong(task, asked, life)
 			} else {
 				// A worker that lost the lease still kept the checkpoint.
 				r.Progress = g.reports[task].Progress
@@ -221,6 +233,20 @@
 	})
 }
 
+// mayLast notes that a call may make the lease last until the moment. The lock
+// must be held.
+func (g *gang) mayLast(task int, lapses time.Time) {
+	if lapses.After(g.validUntil[task]) {
+		g.validUntil[task] = lapses
+	}
+}
+
+// prolong notes a lease that was taken or renewed at the moment. The lock must be held.
+func (g *gang) prolong(task int, asked time.Time, life time.Duration) {
+	g.mayLast(task, asked.Add(life))
+	g.stopAt[task] = asked.Add(time.Duration(lapseShare * float64(life)))
+}
+
 // verdict is what the reports say of the gang.
 type verdict struct {
 	succeeded, failed, gone, lapsing bool
@@ -238,7 +264,7 @@
 			return verdict{failed: true, task: task, text: r.Error}
 		case r.State == platform.TaskGone, r.State == platform.TaskHeld && g.adopted:
 			return verdict{gone: true, task: task}
-		case now.After(g.validUntil[task].Add(-lapseMargin)):
+		case now.After(g.stopAt[task]):
 			return verdict{lapsing: true, task: task}
 		case r.State == platform.TaskSucceeded:
 			done++
@@ -388,7 +414,7 @@
 	defer g.mu.Unlock()
 	until := g.validUntil[task]
 	if until.IsZero() {
-		until = g.driver.began(g.job.ID, g.job.Epoch).Add(LeaseLife)
+		until = g.driver.began(g.job.ID, g.job.Epoch).Add(MaxLeaseLife)
 	}
 	return time.Now().After(until)
 }
--- a/internal/process/gang/renewer.go
+++ b/internal/process/gang/renewer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -9,13 +10,20 @@
 )
 
 const (
-	// LeaseLife is how long a lease lasts without renewal.
+	// LeaseLife is how long the lease of a young gang lasts without renewal.
 	LeaseLife = 30 * time.Second
+	// MaxLeaseLife is how long that of an old one lasts.
+	MaxLeaseLife = livesPerRenewal * maxRenewEvery
+	// livesPerRenewal is how many renewals are due in the life of a lease.
+	livesPerRenewal = 3
+	// ageShare is the share of its age after which a gang is renewed again: old
+	// gangs are renewed rarely, and their end is noticed late by less than this.
+	ageShare = 1.0 / 60
 	// renewalRate is the most renewal calls that one process makes in a second.
 	renewalRate = 40
 	// minRenewEvery and maxRenewEvery bound the time between two renewals of a worker.
 	minRenewEvery = 500 * time.Millisecond
-	maxRenewEvery = 10 * time.Second
+	maxRenewEvery = 40 * time.Second
 	// renewTimeout bounds one renewal call.
 	renewTimeout = 2 * time.Second
 )
@@ -36,8 +44,14 @@
 // renewal is one lease under renewal.
 type renewal struct {
 	epoch platform.Epoch
-	// report is called with the moment before the call and the worker's word.
-	report func(asked time.Time, r platform.TaskReport)
+	// since is when the gang was first held here.
+	since time.Time
+	// asking is called before a call with the last moment at which it can make the
+	// lease lapse, whether its answer comes or not.
+	asking func(lapses time.Time)
+	// report is called with the moment before the call, the life that was asked
+	// for, and the worker's word.
+	report func(asked time.Time, life time.Duration, r platform.TaskReport)
 }
 
 func newRenewer(workers platform.Workers) *renewer {
@@ -55,8 +69,8 @@
 	defer r.mu.Unlock()
 	if r.leases[worker] == nil {
 		r.leases[worker] = map[platform.LeaseID]*renewal{}
-		r.due[worker] = time.Now()
 	}
+	r.due[worker] = time.Now()
 	r.leases[worker][id] = n
 }
 
@@ -75,25 +89,36 @@
 	}
 }
 
-// every returns the time between renewals of one worker: short with few
-// workers, longer with many, so that the rate of calls stays bounded.
-func (r *renewer) every() time.Duration {
-	spread := time.Duration(len(r.leases)) * time.Second / renewalRate
-	return min(maxRenewEvery, max(minRenewEvery, spread))
+// every returns the time to the next renewal of a worker: a share of the age of
+// its youngest gang, and with many workers more, so that the rate of calls stays
+// bounded. A lease of the least life must not lapse before it.
+func (r *renewer) every(now time.Time, worker platform.WorkerID) time.Duration {
+	youngest := time.Duration(math.MaxInt64)
+	for _, n := range r.leases[worker] {
+		youngest = min(youngest, now.Sub(n.since))
+	}
+	byAge := time.Duration(ageShare * float64(youngest))
+	byRate := min(LeaseLife/livesPerRenewal, time.Duration(len(r.leases))*time.Second/renewalRate)
+	return min(maxRenewEvery, max(minRenewEvery, byAge, byRate))
+}
+
+// lifeFor returns the life of leases that are renewed after the time.
+func lifeFor(every time.Duration) time.Duration {
+	return max(LeaseLife, livesPerRenewal*every)
 }
 
 // tick begins a renewal of every worker that is due.
 func (r *renewer) tick(ctx context.Context, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	every := r.every()
 	for worker, at := range r.due {
 		if now.Before(at) || r.busy[worker] {
 			continue
 		}
+		every := r.every(now, worker)
 		r.due[worker] = now.Add(every)
 		r.busy[worker] = true
-		go r.renew(ctx, worker, r.batch(worker))
+		go r.renew(ctx, worker, lifeFor(every), r.batch(worker))
 	}
 }
 
@@ -106,26 +131,39 @@
 	return batch
 }
 
-func (r *renewer) renew(ctx context.Context, worker platform.WorkerID, batch map[platform.LeaseID]*renewal) {
+func (r *renewer) renew(ctx context.Context, worker platform.WorkerID, life time.Duration, batch map[platform.LeaseID]*renewal) {
 	defer r.done(worker)
 	calls := make([]platform.Renewal, 0, len(batch))
 	for id, n := range batch {
-		calls = append(calls, platform.Renewal{ID: id, Epoch: n.epoch, Life: LeaseLife})
+		calls = append(calls, platform.Renewal{ID: id, Epoch: n.epoch, Life: life})
 	}
 	asked := time.Now()
+	for _, n := range batch {
+		n.asking(asked.Add(renewTimeout + life))
+	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	reports, err := r.workers.Renew(ctx, worker, calls)
 	if err != nil {
+		r.soon(worker)
 		return
 	}
 	for _, report := range reports {
 		if n := batch[report.ID]; n != nil {
-			n.report(asked, report)
+			n.report(asked, life, report)
 		}
 	}
 }
 
+// soon lets a worker that did not answer be asked again after the least time.
+func (r *renewer) soon(worker platform.WorkerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, leased := r.due[worker]; leased {
+		r.due[worker] = time.Now().Add(minRenewEvery)
+	}
+}
+
 func (r *renewer) done(worker platform.WorkerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/process/standin/workers.go
+++ b/internal/process/standin/workers.go
@@ -21,6 +21,15 @@
 type Workers struct {
 	mu      sync.Mutex
 	workers map[platform.WorkerID]*worker
+	// renewals counts the calls of Renew.
+	renewals int
+}
+
+// Renewals returns the number of renewal calls since the start.
+func (w *Workers) Renewals() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.renewals
 }
 
 // WorkerFaults are the failures of a worker that can be switched on.
@@ -270,6 +279,7 @@
 func (w *Workers) Renew(_ context.Context, id platform.WorkerID, renewals []platform.Renewal) ([]platform.TaskReport, error) {
 	var reports []platform.TaskReport
 	err := w.on(id, func(m *worker, now time.Time) error {
+		w.renewals++
 		for _, r := range renewals {
 			report := platform.TaskReport{ID: r.ID, State: platform.TaskGone}
 			if l, err := m.held(r.ID, r.Epoch); err == nil {
