--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -227,13 +227,14 @@
 func (a *Agent) send(ctx context.Context, address link.Address, beat membership.Heartbeat) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	reply, err := link.Call[membership.HeartbeatReply](ctx, a.pool, address, membership.MethodHeartbeat, beat)
+	report := membership.Report{Beat: beat, Knows: a.contacts.mark(address)}
+	reply, err := link.Call[membership.HeartbeatReply](ctx, a.pool, address, membership.MethodHeartbeat, report)
 	if err != nil {
 		a.logger.Debug("heartbeat failed", "entry", address, "error", err)
 		a.contacts.failed(time.Now(), address)
 		return
 	}
-	a.contacts.hear(time.Now(), reply.Entries)
+	a.contacts.hear(time.Now(), address, reply)
 	a.raise(reply.Version)
 }
 
--- a/internal/process/agent/contacts.go
+++ b/internal/process/agent/contacts.go
@@ -25,6 +25,8 @@
 
 	mu    sync.Mutex
 	known map[link.Address]contact
+	// replies are the last lists that entries told, which they need not repeat.
+	replies map[link.Address]membership.HeartbeatReply
 }
 
 // contact is an entry that was told of.
@@ -36,24 +38,36 @@
 }
 
 func newContacts(self incarnation.ID, set []string) *contacts {
-	c := &contacts{self: self, known: map[link.Address]contact{}}
+	c := &contacts{self: self, known: map[link.Address]contact{}, replies: map[link.Address]membership.HeartbeatReply{}}
 	for _, address := range set {
 		c.set = append(c.set, link.Address(address))
 	}
 	return c
 }
 
-// hear takes in which entries are alive.
-func (c *contacts) hear(now time.Time, beats []membership.Heartbeat) {
+// mark returns the mark of the entries that the address told last.
+func (c *contacts) mark(address link.Address) membership.Mark {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, b := range beats {
+	return c.replies[address].Mark
+}
+
+// hear takes in which entries are alive. An entry that repeats its list leaves it out.
+func (c *contacts) hear(now time.Time, from link.Address, reply membership.HeartbeatReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if before := c.replies[from]; len(reply.Entries) == 0 && reply.Mark == before.Mark {
+		reply.Entries = before.Entries
+	}
+	c.replies[from] = reply
+	for _, b := range reply.Entries {
 		before := c.known[b.Address]
 		c.known[b.Address] = contact{beat: b, told: now, shunned: before.shunned}
 	}
 	for address, k := range c.known {
 		if now.Sub(k.told) > contactMemory {
 			delete(c.known, address)
+			delete(c.replies, address)
 		}
 	}
 }
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -134,18 +134,22 @@
 }
 
 // hearHeartbeat answers an agent.
-func (e *Entry) hearHeartbeat(_ context.Context, b membership.Heartbeat) (membership.HeartbeatReply, error) {
+func (e *Entry) hearHeartbeat(_ context.Context, r membership.Report) (membership.HeartbeatReply, error) {
 	now := time.Now()
-	e.direct.Hear(now, b)
-	e.directory.Hear(now, b)
+	e.direct.Hear(now, r.Beat)
+	e.directory.Hear(now, r.Beat)
 	e.refreshGate()
 	reply := membership.HeartbeatReply{}
 	if current := e.register.Current(); current != nil {
 		reply.Version = current.Version
 	}
-	reply.Entries = e.directory.Digest(now, func(b membership.Heartbeat) bool {
+	entries := e.directory.Digest(now, func(b membership.Heartbeat) bool {
 		return b.Role == membership.RoleEntry && b.Region == e.settings.Region
 	})
+	reply.Mark = membership.MarkOf(entries)
+	if reply.Mark != r.Knows {
+		reply.Entries = entries
+	}
 	return reply, nil
 }
 
--- a/internal/process/membership/bench_test.go
+++ b/internal/process/membership/bench_test.go
@@ -76,3 +76,22 @@
 		})
 	}
 }
+
+// BenchmarkReport encodes an agent's report and an entry's reply to it.
+func BenchmarkReport(b *testing.B) {
+	report := membership.Report{Beat: agents(1)[0], Knows: 1 << 60}
+	reply := membership.HeartbeatReply{Version: 4800, Mark: 1 << 60}
+	bytes := 0
+	for b.Loop() {
+		asked, err := json.Marshal(report)
+		if err != nil {
+			b.Fatal(err)
+		}
+		answered, err := json.Marshal(reply)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(asked) + len(answered)
+	}
+	b.ReportMetric(float64(bytes), "body-bytes")
+}
