internal: compress payloads, report and renew more rarely

Cause: docs/CAPACITY.md, 54 KB a second for an entry against 19. Found on the way, by TestALostWorkerCostsAtMostOneCheckpoint ('not within 4m0s'): every try to renew a silent worker may prolong its lease unseen, and the first, with a long life, made the wait 242 s. Tries after a silence ask for a minute, the longest lease is 120 s, and a call counts both ways: the lease may end as early and as late as it allows.

--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -24,8 +24,11 @@
 )
 
 const (
-	// heartbeatEvery is the time between two heartbeats to one entry.
-	heartbeatEvery = time.Second
+	// heartbeatEvery is the time between two heartbeats to one entry while nothing
+	// changes.
+	heartbeatEvery = 3 * time.Second
+	// refreshEvery is the time between two looks at the minion.
+	refreshEvery = time.Second
 	// heartbeatCopies is the number of entries that hear each heartbeat.
 	heartbeatCopies = 2
 	// drainTimeout bounds the wait for the last answers to be sent.
@@ -50,6 +53,9 @@
 	leaving  atomic.Bool
 	// wake asks for a heartbeat before its time.
 	wake chan struct{}
+	// lastTold and lastBeat belong to the goroutine that sends heartbeats.
+	lastTold told
+	lastBeat time.Time
 }
 
 // New returns an agent that does nothing before Run.
@@ -190,16 +196,19 @@
 func (a *Agent) StartHeartbeats(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
-		tick := time.NewTicker(heartbeatEvery)
+		tick := time.NewTicker(refreshEvery)
 		defer tick.Stop()
 		for {
 			a.refreshTable()
-			a.beat(ctx)
+			if a.beatIsDue(time.Now()) {
+				a.beat(ctx)
+			}
 			select {
 			case <-ctx.Done():
 				ended <- nil
 				return
 			case <-a.wake:
+				a.forceBeat()
 			case <-tick.C:
 			}
 		}
@@ -207,6 +216,29 @@
 	return ended
 }
 
+// beatIsDue tells whether the entries must hear of the agent now: the time has
+// come, or it has another number of slots, another bundle, or leaves.
+func (a *Agent) beatIsDue(now time.Time) bool {
+	slots, _, leaving := a.table.Load()
+	news := told{slots: slots, leaving: leaving, version: a.Version()}
+	if news == a.lastTold && now.Sub(a.lastBeat) < heartbeatEvery-refreshEvery/2 {
+		return false
+	}
+	a.lastTold = news
+	a.lastBeat = now
+	return true
+}
+
+// forceBeat makes the next look send a heartbeat.
+func (a *Agent) forceBeat() { a.lastBeat = time.Time{} }
+
+// told is what the entries must hear at once when it changes.
+type told struct {
+	slots   int
+	leaving bool
+	version bundle.Version
+}
+
 // beat sends one heartbeat to the entries chosen for this agent.
 func (a *Agent) beat(ctx context.Context) {
 	slots, busy, leaving := a.table.Load()
--- a/internal/process/agent/contacts.go
+++ b/internal/process/agent/contacts.go
@@ -99,7 +99,7 @@
 		switch {
 		case now.Before(k.shunned):
 			shunned = append(shunned, k.beat)
-		case now.Sub(k.told) < membership.Lifetime && !k.beat.Leaving:
+		case now.Sub(k.told) < membership.FarLifetime && !k.beat.Leaving:
 			fresh = append(fresh, k.beat)
 		default:
 			stale = append(stale, k.beat)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -105,6 +105,8 @@
 		broken:   make(chan struct{}),
 		flights:  map[ledger.ClaimKey]*flight{}, unsettled: map[ledger.ClaimKey]*ledger.Answer{},
 	}
+	e.directory.Home = s.Region
+	e.direct.Home = s.Region
 	options := journal.Options{SnapshotAge: s.SnapshotAge.Std()}
 	e.bundles = journal.New(log, BundleStream, self, journal.Machine[bundle.Record](e.register), options)
 	e.ledger = journal.New(log, LedgerStream(s.Region), self, journal.Machine[ledger.Record](e.state), options)
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// exchangeEvery is the time between two digests to another entry.
+	// exchangeEvery is the time between two digests to an entry of the own region.
 	exchangeEvery = time.Second
+	// farExchangeEvery is that to an entry of another region.
+	farExchangeEvery = 3 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
 )
@@ -24,6 +26,8 @@
 	// out are those that this entry begins, in those that others begin.
 	out map[link.Address]*membership.Conversation
 	in  map[link.Address]*membership.Conversation
+	// lastFar is when other regions were told last.
+	lastFar time.Time
 }
 
 // get returns the conversation with the address. The lock must be held.
@@ -68,15 +72,34 @@
 	e.directory.Hear(now, e.ownBeat())
 	e.direct.Sweep(now)
 	var group sync.WaitGroup
-	for address, region := range e.partners() {
+	for address, region := range e.dueNow(now, e.partners()) {
 		group.Go(func() { e.exchangeWith(ctx, address, region) })
 	}
 	group.Wait()
 	e.refreshGate()
 }
 
-// partners returns the entries to exchange with and their regions. Those of the
-// settings are asked as long as they are not known to be alive.
+// dueNow leaves out the partners of other regions until their time has come.
+func (e *Entry) dueNow(now time.Time, partners map[link.Address]platform.Region) map[link.Address]platform.Region {
+	e.conversations.mu.Lock()
+	defer e.conversations.mu.Unlock()
+	far := e.leaving.Load() || now.Sub(e.conversations.lastFar) >= farExchangeEvery-exchangeEvery/2
+	if far {
+		e.conversations.lastFar = now
+		return partners
+	}
+	for address, region := range partners {
+		if region != e.settings.Region {
+			delete(partners, address)
+		}
+	}
+	return partners
+}
+
+// partners returns the entries to exchange with and their regions. In the own
+// region the entry with the lower ID begins, unless this one is leaving, as the
+// answer tells as much as the question. The entries of the settings are asked as
+// long as they are not known to be alive.
 func (e *Entry) partners() map[link.Address]platform.Region {
 	partners := map[link.Address]platform.Region{}
 	byRegion := map[platform.Region][]membership.Heartbeat{}
@@ -86,6 +109,9 @@
 			continue
 		}
 		alive[b.Address] = true
+		if b.Region == e.settings.Region && b.ID < e.member.ID && !e.leaving.Load() {
+			continue
+		}
 		byRegion[b.Region] = append(byRegion[b.Region], b)
 	}
 	for region, entries := range byRegion {
@@ -104,6 +130,27 @@
 	return partners
 }
 
+// others returns the addresses of all other entries, known or set.
+func (e *Entry) others() []link.Address {
+	seen := map[link.Address]bool{e.settings.LinkAddress: true}
+	var addresses []link.Address
+	add := func(a link.Address) {
+		if !seen[a] {
+			seen[a] = true
+			addresses = append(addresses, a)
+		}
+	}
+	for _, b := range e.directory.Alive() {
+		if b.Role == membership.RoleEntry {
+			add(b.Address)
+		}
+	}
+	for _, p := range e.settings.Peers {
+		add(link.Address(p))
+	}
+	return addresses
+}
+
 func (e *Entry) exchangeWith(ctx context.Context, address link.Address, region platform.Region) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
--- a/internal/process/entry/observer.go
+++ b/internal/process/entry/observer.go
@@ -52,8 +52,8 @@
 }
 
 // policeEvery is the time between two looks at usage reports, which cover the
-// whole region and lag anyway.
-const policeEvery = 30 * time.Second
+// whole region and lag anyway, so that they stay a small part of an entry's bytes.
+const policeEvery = 2 * time.Minute
 
 // police lets the driver keep its tasks to what they claimed.
 func (e *Entry) police(ctx context.Context) {
--- a/internal/process/entry/seed.go
+++ b/internal/process/entry/seed.go
@@ -52,7 +52,7 @@
 		if s.CaughtUp() {
 			continue
 		}
-		for address := range e.partners() {
+		for _, address := range e.others() {
 			if err := e.seedFrom(ctx, address, stream, s); err != nil {
 				e.logger.Debug("no state from peer", "peer", address, "stream", stream, "error", err)
 			}
--- a/internal/process/gang/gang.go
+++ b/internal/process/gang/gang.go
@@ -214,10 +214,11 @@
 	g.driver.renewer.add(a.Worker, g.job.LeaseID(task), &renewal{
 		epoch: g.job.Epoch,
 		since: g.driver.began(g.job.ID, g.job.Epoch),
-		asking: func(lapses time.Time) {
+		asking: func(asked time.Time, life time.Duration) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			g.mayLast(task, lapses)
+			g.mayLast(task, asked.Add(renewTimeout+life))
+			g.stopAt[task] = earlier(g.stopAt[task], stopAfter(asked, life))
 		},
 		report: func(asked time.Time, life time.Duration, r platform.TaskReport) {
 			g.mu.Lock()
@@ -244,7 +245,20 @@
 // prolong notes a lease that was taken or renewed at the moment. The lock must be held.
 func (g *gang) prolong(task int, asked time.Time, life time.Duration) {
 	g.mayLast(task, asked.Add(life))
-	g.stopAt[task] = asked.Add(time.Duration(lapseShare * float64(life)))
+	g.stopAt[task] = stopAfter(asked, life)
+}
+
+// stopAfter returns when a gang must be stopped whose lease was last prolonged at
+// the moment.
+func stopAfter(asked time.Time, life time.Duration) time.Time {
+	return asked.Add(time.Duration(lapseShare * float64(life)))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // verdict is what the reports say of the gang.
--- a/internal/process/gang/renewer.go
+++ b/internal/process/gang/renewer.go
@@ -13,8 +13,11 @@
 	// LeaseLife is how long the lease of a young gang lasts without renewal.
 	LeaseLife = 30 * time.Second
 	// MaxLeaseLife is how long that of an old one lasts.
-	MaxLeaseLife = livesPerRenewal * maxRenewEvery
-	// livesPerRenewal is how many renewals are due in the life of a lease.
+	MaxLeaseLife = maxRenewEvery + retryLife
+	// retryLife is the life that is asked for again after a renewal without an
+	// answer. Each try may prolong the lease unseen, so it must not be long.
+	retryLife = time.Minute
+	// livesPerRenewal is how many renewals are due in the life of a short lease.
 	livesPerRenewal = 3
 	// ageShare is the share of its age after which a gang is renewed again: old
 	// gangs are renewed rarely, and their end is noticed late by less than this.
@@ -23,7 +26,7 @@
 	renewalRate = 40
 	// minRenewEvery and maxRenewEvery bound the time between two renewals of a worker.
 	minRenewEvery = 500 * time.Millisecond
-	maxRenewEvery = 40 * time.Second
+	maxRenewEvery = time.Minute
 	// renewTimeout bounds one renewal call.
 	renewTimeout = 2 * time.Second
 )
@@ -39,6 +42,8 @@
 	// busy workers have a call under way.
 	busy map[platform.WorkerID]bool
 	due  map[platform.WorkerID]time.Time
+	// silent workers did not answer the last call.
+	silent map[platform.WorkerID]bool
 }
 
 // renewal is one lease under renewal.
@@ -46,9 +51,9 @@
 	epoch platform.Epoch
 	// since is when the gang was first held here.
 	since time.Time
-	// asking is called before a call with the last moment at which it can make the
-	// lease lapse, whether its answer comes or not.
-	asking func(lapses time.Time)
+	// asking is called before a call: from now on the lease may have the life from
+	// this moment, or from as late as renewTimeout after it, or may be as before.
+	asking func(asked time.Time, life time.Duration)
 	// report is called with the moment before the call, the life that was asked
 	// for, and the worker's word.
 	report func(asked time.Time, life time.Duration, r platform.TaskReport)
@@ -60,6 +65,7 @@
 		leases:  map[platform.WorkerID]map[platform.LeaseID]*renewal{},
 		busy:    map[platform.WorkerID]bool{},
 		due:     map[platform.WorkerID]time.Time{},
+		silent:  map[platform.WorkerID]bool{},
 	}
 }
 
@@ -86,6 +92,7 @@
 	if len(r.leases[worker]) == 0 {
 		delete(r.leases, worker)
 		delete(r.due, worker)
+		delete(r.silent, worker)
 	}
 }
 
@@ -102,9 +109,10 @@
 	return min(maxRenewEvery, max(minRenewEvery, byAge, byRate))
 }
 
-// lifeFor returns the life of leases that are renewed after the time.
+// lifeFor returns the life of leases that are renewed after the time: room for
+// several renewals, or for one and the tries after it.
 func lifeFor(every time.Duration) time.Duration {
-	return max(LeaseLife, livesPerRenewal*every)
+	return max(LeaseLife, min(livesPerRenewal*every, every+retryLife))
 }
 
 // tick begins a renewal of every worker that is due.
@@ -118,7 +126,11 @@
 		every := r.every(now, worker)
 		r.due[worker] = now.Add(every)
 		r.busy[worker] = true
-		go r.renew(ctx, worker, lifeFor(every), r.batch(worker))
+		life := lifeFor(every)
+		if r.silent[worker] {
+			life = retryLife
+		}
+		go r.renew(ctx, worker, life, r.batch(worker))
 	}
 }
 
@@ -139,13 +151,13 @@
 	}
 	asked := time.Now()
 	for _, n := range batch {
-		n.asking(asked.Add(renewTimeout + life))
+		n.asking(asked, life)
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	reports, err := r.workers.Renew(ctx, worker, calls)
+	r.answered(worker, err == nil)
 	if err != nil {
-		r.soon(worker)
 		return
 	}
 	for _, report := range reports {
@@ -155,11 +167,14 @@
 	}
 }
 
-// soon lets a worker that did not answer be asked again after the least time.
-func (r *renewer) soon(worker platform.WorkerID) {
+// answered notes whether a worker answered. One that did not is asked again after
+// the least time.
+func (r *renewer) answered(worker platform.WorkerID, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, leased := r.due[worker]; leased {
+	delete(r.silent, worker)
+	if _, leased := r.due[worker]; leased && !answered {
+		r.silent[worker] = true
 		r.due[worker] = time.Now().Add(minRenewEvery)
 	}
 }
--- a/internal/process/journal/envelope.go
+++ b/internal/process/journal/envelope.go
@@ -29,7 +29,7 @@
 	UpTo platform.Offset
 	// Index counts from 0 to Count-1.
 	Index, Count int
-	// Digest is the SHA-256 of the whole snapshot, in hexadecimal.
+	// Digest is the SHA-256 of the whole packed snapshot, in hexadecimal.
 	Digest string
 	Data   []byte
 }
@@ -39,12 +39,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: encode envelope: %w", err)
 	}
-	return payload, nil
+	return pack(payload)
 }
 
 func decode[R any](payload []byte) (envelope[R], error) {
 	var e envelope[R]
-	if err := json.Unmarshal(payload, &e); err != nil {
+	data, err := unpack(payload)
+	if err != nil {
+		return e, err
+	}
+	if err := json.Unmarshal(data, &e); err != nil {
 		return e, fmt.Errorf("journal: decode envelope: %w", err)
 	}
 	return e, nil
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -172,7 +172,11 @@
 		// Records between the snapshot and the first kept one are lost.
 		return
 	}
-	if err := j.folder.restore(whole); err != nil {
+	data, err := unpack(whole)
+	if err != nil {
+		return
+	}
+	if err := j.folder.restore(data); err != nil {
 		return
 	}
 	j.started = true
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -194,7 +194,11 @@
 	if err != nil {
 		return nil
 	}
-	return split(j.folder.offset, data)
+	packed, err := pack(data)
+	if err != nil {
+		return nil
+	}
+	return split(j.folder.offset, packed)
 }
 
 func (j *Journal[R]) snapshotDue() bool {
--- a/internal/process/ledger/bench_test.go
+++ b/internal/process/ledger/bench_test.go
@@ -1,6 +1,8 @@
 package ledger_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"math"
 	"testing"
@@ -179,3 +181,24 @@
 		})
 	}
 }
+
+// BenchmarkPackedSnapshot tells how much of a snapshot is left when the journal
+// has compressed it.
+func BenchmarkPackedSnapshot(b *testing.B) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+			s, _ := filled(b, workers)
+			data, err := s.MarshalSnapshot()
+			must(b, err)
+			var packed bytes.Buffer
+			for b.Loop() {
+				packed.Reset()
+				w := gzip.NewWriter(&packed)
+				_, err := w.Write(data)
+				must(b, err)
+				must(b, w.Close())
+			}
+			b.ReportMetric(float64(packed.Len()), "packed-bytes")
+		})
+	}
+}
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -60,8 +60,14 @@
 	Age time.Duration `json:",omitempty"`
 }
 
-// Lifetime is how long a process is taken to be alive after its last heartbeat.
-const Lifetime = 3 * time.Second
+const (
+	// Lifetime is how long an entry of the own region is taken to be alive after
+	// its last heartbeat: its gangs and claims wait for others to take them over.
+	Lifetime = 3 * time.Second
+	// FarLifetime is the same for agents and for other regions, which are heard of
+	// more rarely. Whoever calls a dead one of those notices by itself.
+	FarLifetime = 8 * time.Second
+)
 
 // memory is how long a dead process is remembered, so that old news does not
 // bring it back.
@@ -77,6 +83,9 @@
 // ready to use; it is safe for concurrent use. Readers on a request's path take
 // no lock.
 type Directory struct {
+	// Home is the region whose entries live for Lifetime. Set it before use.
+	Home platform.Region
+
 	mu      sync.Mutex
 	members map[incarnation.ID]known
 	// alive is the sorted list as of the last change or sweep.
@@ -99,7 +108,7 @@
 		}
 		after := known{Heartbeat: b, sent: now.Add(-b.Age)}
 		d.members[b.ID] = after
-		changed = changed || !heard || !before.alive(now) || !before.sameAs(b)
+		changed = changed || !heard || !d.isAlive(before, now) || !before.sameAs(b)
 	}
 	if changed {
 		d.publish(now)
@@ -119,7 +128,7 @@
 	if !sent.After(k.sent) {
 		return true
 	}
-	revived := !k.alive(now)
+	revived := !d.isAlive(k, now)
 	k.sent = sent
 	d.members[id] = k
 	if revived {
@@ -128,14 +137,21 @@
 	return true
 }
 
-func (k known) alive(now time.Time) bool { return now.Sub(k.sent) < Lifetime }
+// isAlive tells whether a process counts as alive at the time.
+func (d *Directory) isAlive(k known, now time.Time) bool {
+	life := FarLifetime
+	if k.Role == RoleEntry && k.Region == d.Home {
+		life = Lifetime
+	}
+	return now.Sub(k.sent) < life
+}
 
 // Forget drops a process that ended.
 func (d *Directory) Forget(now time.Time, id incarnation.ID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if k, heard := d.members[id]; heard {
-		k.sent = now.Add(-Lifetime)
+		k.sent = now.Add(-FarLifetime)
 		d.members[id] = k
 	}
 	d.publish(now)
@@ -147,7 +163,7 @@
 	defer d.mu.Unlock()
 	living := 0
 	for id, k := range d.members {
-		if k.alive(now) {
+		if d.isAlive(k, now) {
 			living++
 		}
 		if now.Sub(k.sent) >= memory {
@@ -166,7 +182,7 @@
 func (d *Directory) publish(now time.Time) {
 	list := make([]Heartbeat, 0, len(d.members))
 	for _, k := range d.members {
-		if k.alive(now) {
+		if d.isAlive(k, now) {
 			list = append(list, k.Heartbeat)
 		}
 	}
@@ -190,7 +206,7 @@
 	defer d.mu.Unlock()
 	var digest []Heartbeat
 	for _, k := range d.members {
-		if !k.alive(now) || !filter(k.Heartbeat) {
+		if !d.isAlive(k, now) || !filter(k.Heartbeat) {
 			continue
 		}
 		b := k.Heartbeat
