--- a/internal/process/command/bundle.go
+++ b/internal/process/command/bundle.go
@@ -92,30 +92,31 @@
 			if err != nil {
 				return err
 			}
-			cl, k, err := operator.open()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			current, err := cl.Bundle(ctx)
-			if err != nil {
-				return err
-			}
-			digest := bundle.DigestOf(bundle.Version(current.Version), document)
-			_, err = cl.DraftBundle(ctx, client.Draft{
-				Author: string(k.Name), Base: current.Version, Document: document,
-				Signature: bundle.Sign(k.private(), bundle.ActionDraft, digest),
+			return operator.act(ctx, func(ctx context.Context, cl *client.Client, k *operatorKey) error {
+				return c.draft(ctx, cl, k, document)
 			})
-			if err != nil {
-				return err
-			}
-			_, err = fmt.Fprintln(c.out, digest)
-			return err
 		},
 	}
 }
 
+// draft proposes the document on top of the bundle in force and prints its digest.
+func (c console) draft(ctx context.Context, cl *client.Client, k *operatorKey, document string) error {
+	current, err := cl.Bundle(ctx)
+	if err != nil {
+		return err
+	}
+	digest := bundle.DigestOf(bundle.Version(current.Version), document)
+	_, err = cl.DraftBundle(ctx, client.Draft{
+		Author: string(k.Name), Base: current.Version, Document: document,
+		Signature: bundle.Sign(k.private(), bundle.ActionDraft, digest),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.out, digest)
+	return err
+}
+
 func newBundleConsent(c console, action bundle.Action, name, help string) *ffcli.Command {
 	flags := newFlags(name, c)
 	operator := addOperatorFlags(flags)
@@ -128,24 +129,20 @@
 			if len(arguments) != 1 {
 				return usage("name the draft's digest")
 			}
-			cl, k, err := operator.open()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			digest := bundle.Digest(arguments[0])
-			consent := client.Consent{Operator: string(k.Name), Digest: arguments[0], Signature: bundle.Sign(k.private(), action, digest)}
-			step := cl.ApproveBundle
-			if action == bundle.ActionRoll {
-				step = cl.RollBundle
-			}
-			status, err := step(ctx, consent)
-			if err != nil {
+			return operator.act(ctx, func(ctx context.Context, cl *client.Client, k *operatorKey) error {
+				digest := bundle.Digest(arguments[0])
+				consent := client.Consent{Operator: string(k.Name), Digest: arguments[0], Signature: bundle.Sign(k.private(), action, digest)}
+				step := cl.ApproveBundle
+				if action == bundle.ActionRoll {
+					step = cl.RollBundle
+				}
+				status, err := step(ctx, consent)
+				if err != nil {
+					return err
+				}
+				_, err = fmt.Fprintln(c.out, "in force:", status.Version)
 				return err
-			}
-			_, err = fmt.Fprintln(c.out, "in force:", status.Version)
-			return err
+			})
 		},
 	}
 }
@@ -159,17 +156,13 @@
 		ShortHelp:  "Show the bundle in force and the open drafts.",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			cl, _, err := operator.open()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			status, err := cl.Bundle(ctx)
-			if err != nil {
-				return err
-			}
-			return c.print(status)
+			return operator.act(ctx, func(ctx context.Context, cl *client.Client, _ *operatorKey) error {
+				status, err := cl.Bundle(ctx)
+				if err != nil {
+					return err
+				}
+				return c.print(status)
+			})
 		},
 	}
 }
@@ -186,28 +179,29 @@
 			if len(arguments) != 1 {
 				return usage("name a draft's digest or a bundle file")
 			}
-			cl, _, err := operator.open()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			status, err := cl.Bundle(ctx)
-			if err != nil {
-				return err
-			}
-			document, err := findDocument(status, arguments)
-			if err != nil {
-				return err
-			}
-			for _, line := range Diff(status.Document, document) {
-				_, _ = fmt.Fprintln(c.out, line)
-			}
-			return nil
+			return operator.act(ctx, func(ctx context.Context, cl *client.Client, _ *operatorKey) error {
+				return c.diff(ctx, cl, arguments)
+			})
 		},
 	}
 }
 
+// diff prints how a draft or a file differs from the bundle in force.
+func (c console) diff(ctx context.Context, cl *client.Client, arguments []string) error {
+	status, err := cl.Bundle(ctx)
+	if err != nil {
+		return err
+	}
+	document, err := findDocument(status, arguments)
+	if err != nil {
+		return err
+	}
+	for _, line := range Diff(status.Document, document) {
+		_, _ = fmt.Fprintln(c.out, line)
+	}
+	return nil
+}
+
 // findDocument returns the open draft with the digest, or the file's text.
 func findDocument(status client.BundleStatus, arguments []string) (string, error) {
 	for _, d := range status.Drafts {
--- a/internal/process/command/operator.go
+++ b/internal/process/command/operator.go
@@ -72,6 +72,18 @@
 	return c, k, nil
 }
 
+// act calls f as the operator, within the time of a call.
+func (f operatorFlags) act(ctx context.Context, do func(ctx context.Context, cl *client.Client, k *operatorKey) error) error {
+	cl, k, err := f.open()
+	if err != nil {
+		return err
+	}
+	defer cl.Close()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return do(ctx, cl, k)
+}
+
 func newStatus(c console) *ffcli.Command {
 	flags := newFlags("status", c)
 	operator := addOperatorFlags(flags)
@@ -81,17 +93,13 @@
 		ShortHelp:  "Show processes, the bundle in force at each, and the region's load.",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
-			cl, _, err := operator.open()
-			if err != nil {
-				return err
-			}
-			ctx, cancel := context.WithTimeout(ctx, callTimeout)
-			defer cancel()
-			s, err := cl.Status(ctx)
-			if err != nil {
-				return err
-			}
-			return c.printStatus(s)
+			return operator.act(ctx, func(ctx context.Context, cl *client.Client, _ *operatorKey) error {
+				s, err := cl.Status(ctx)
+				if err != nil {
+					return err
+				}
+				return c.printStatus(s)
+			})
 		},
 	}
 }
