--- a/internal/connection/link/pool.go
+++ b/internal/connection/link/pool.go
@@ -9,13 +9,15 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"corianderpass/internal/process/incarnation"
 )
 
 // dialTimeout bounds the time to open a connection.
 const dialTimeout = time.Second
 
-// Address is the IP address and port of a process of the scheduler.
-type Address string
+// Address is where a process is reached.
+type Address = incarnation.Address
 
 // Dialer opens a connection to an address.
 type Dialer func(ctx context.Context, address Address) (net.Conn, error)
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,6 +31,15 @@
 	lastFar time.Time
 }
 
+// prune ends the conversations with entries that are gone. The lock must be held.
+func (c *conversations) prune(d *membership.Directory) {
+	gone := func(_ link.Address, with *membership.Conversation) bool {
+		return with.With != "" && !d.IsAlive(with.With)
+	}
+	maps.DeleteFunc(c.out, gone)
+	maps.DeleteFunc(c.in, gone)
+}
+
 // get returns the conversation with the address. The lock must be held.
 func get(m *map[link.Address]*membership.Conversation, address link.Address) *membership.Conversation {
 	if *m == nil {
@@ -83,6 +93,7 @@
 func (e *Entry) dueNow(now time.Time, partners map[link.Address]platform.Region) map[link.Address]platform.Region {
 	e.conversations.mu.Lock()
 	defer e.conversations.mu.Unlock()
+	e.conversations.prune(&e.directory)
 	far := e.leaving.Load() || now.Sub(e.conversations.lastFar) >= farExchangeEvery-exchangeEvery/2
 	if far {
 		e.conversations.lastFar = now
--- a/internal/process/incarnation/incarnation.go
+++ b/internal/process/incarnation/incarnation.go
@@ -12,6 +12,10 @@
 // ID names one run of one process. The zero value names none.
 type ID string
 
+// Address is the IP address and port at which other processes of the scheduler
+// reach this one.
+type Address string
+
 // New returns an incarnation of the named process that began at the start
 // time. Two calls never return the same ID.
 func New(name string, start time.Time) ID {
--- a/internal/process/journal/assembly.go
+++ b/internal/process/journal/assembly.go
@@ -10,6 +10,9 @@
 // chunkSize is the most snapshot bytes in one log record.
 const chunkSize = 256 << 10
 
+// openSnapshots bounds the snapshots of which some chunks are missing.
+const openSnapshots = 8
+
 // split cuts snapshot data into chunks.
 func split(upTo platform.Offset, data []byte) []chunk {
 	sum := sha256.Sum256(data)
@@ -40,6 +43,10 @@
 	}
 	pieces := a.parts[c.Digest]
 	if len(pieces) != c.Count {
+		if len(a.parts) >= openSnapshots {
+			// Their writers died between two chunks.
+			clear(a.parts)
+		}
 		pieces = make([][]byte, c.Count)
 		a.parts[c.Digest] = pieces
 	}
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -95,8 +95,9 @@
 	// lastSnapshotSeen the moment at which it passed by, or the start.
 	lastSnapshot     platform.Offset
 	lastSnapshotSeen time.Time
-	// lastFolded is the moment of the last fold.
+	// lastFolded is the moment of the last fold, quiet how long none may follow.
 	lastFolded time.Time
+	quiet      time.Duration
 	// sequence is the number of the last envelope that this writer built.
 	sequence uint64
 	assembly assembly
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -136,6 +136,7 @@
 		return
 	}
 	j.lastFolded = time.Now()
+	j.quiet = drawQuiet()
 	result, fresh := j.folder.fold(offset, e)
 	if !fresh || result.writer != j.writer {
 		return
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,7 +19,8 @@
 	appendTimeout = 2 * time.Second
 	// checkEvery is the pause between two looks at what is due besides proposals.
 	checkEvery = time.Second
-	// quietTime is how long a stream may go without an envelope.
+	// quietTime is how long a stream may go without an envelope. Each writer draws
+	// a time from the half of it up to the whole, so that mostly one of them appends.
 	quietTime = 30 * time.Second
 )
 
@@ -169,9 +171,12 @@
 		return false
 	}
 	behind := time.Since(time.UnixMilli(j.folder.time)) > maxTimeStep
-	return behind || time.Since(j.lastFolded) >= j.spread(quietTime)
+	return behind || time.Since(j.lastFolded) >= j.quiet
 }
 
+// drawQuiet draws how long the stream may be quiet this time.
+func drawQuiet() time.Duration { return quietTime/2 + rand.N(quietTime/2) }
+
 // snapshotIfDue appends a snapshot when the last one is old. Rival writers cost
 // only space: their chunks describe prefixes of the same stream.
 func (j *Journal[R]) snapshotIfDue(ctx context.Context) {
--- a/internal/process/ledger/claim.go
+++ b/internal/process/ledger/claim.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	"corianderpass/internal/connection/link"
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/version/bundle"
 	"corianderpass/pkg/platform"
@@ -25,7 +24,7 @@
 // Target is the agent to which a request goes.
 type Target struct {
 	Agent   incarnation.ID
-	Address link.Address
+	Address incarnation.Address
 }
 
 // Fate tells whether a request ran.
@@ -57,7 +56,7 @@
 	Epoch platform.Epoch
 	Owner incarnation.ID
 	// OwnerAddress is where the owner's link is reached.
-	OwnerAddress link.Address
+	OwnerAddress incarnation.Address
 	Service      bundle.ServiceName
 	// BodyDigest is the SHA-256 of the body in hexadecimal.
 	BodyDigest string
@@ -72,7 +71,7 @@
 type Claim struct {
 	Key          ClaimKey
 	Owner        incarnation.ID
-	OwnerAddress link.Address
+	OwnerAddress incarnation.Address
 	Service      bundle.ServiceName
 	BodyDigest   string
 	Dispatch     DispatchID
@@ -85,7 +84,7 @@
 	Key          ClaimKey
 	Epoch        platform.Epoch
 	Owner        incarnation.ID
-	OwnerAddress link.Address
+	OwnerAddress incarnation.Address
 	Dispatch     DispatchID
 	Target       Target
 }
