internal/process/membership: number the sender too, ask other regions more rarely

Change: the sender is one of the numbered processes; other regions are asked every 5 s, and processes there live for 12 s without news. Found on the way by TestAnOrganisationIsServedFromAnyRegion ('told after 30s', 3 of 3 runs): with the longer life a cut region was counted on for too long and claimed requests were forwarded into the cut. An entry of another region that does not answer an exchange is not counted on any more, and the next one is asked a second later.

--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderpass/internal/connection/link"
+	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/membership"
 	"corianderpass/internal/request/gate"
 	"corianderpass/pkg/platform"
@@ -16,39 +17,38 @@
 	// exchangeEvery is the time between two digests to an entry of the own region.
 	exchangeEvery = time.Second
 	// farExchangeEvery is that to an entry of another region.
-	farExchangeEvery = 3 * time.Second
+	farExchangeEvery = 5 * time.Second
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = time.Second
 )
 
-// conversations are what this entry and others told each other, by address.
+// conversations are what this entry and others told each other.
 type conversations struct {
 	mu sync.Mutex
 	// out are those that this entry begins, in those that others begin.
 	out map[link.Address]*membership.Conversation
-	in  map[link.Address]*membership.Conversation
+	in  map[incarnation.ID]*membership.Conversation
 	// lastFar is when other regions were told last.
 	lastFar time.Time
 }
 
 // prune ends the conversations with entries that are gone. The lock must be held.
 func (c *conversations) prune(d *membership.Directory) {
-	gone := func(_ link.Address, with *membership.Conversation) bool {
+	maps.DeleteFunc(c.out, func(_ link.Address, with *membership.Conversation) bool {
 		return with.With != "" && !d.IsAlive(with.With)
-	}
-	maps.DeleteFunc(c.out, gone)
-	maps.DeleteFunc(c.in, gone)
+	})
+	maps.DeleteFunc(c.in, func(with incarnation.ID, _ *membership.Conversation) bool { return !d.IsAlive(with) })
 }
 
-// get returns the conversation with the address. The lock must be held.
-func get(m *map[link.Address]*membership.Conversation, address link.Address) *membership.Conversation {
+// get returns the conversation with the key. The lock must be held.
+func get[K comparable](m *map[K]*membership.Conversation, key K) *membership.Conversation {
 	if *m == nil {
-		*m = map[link.Address]*membership.Conversation{}
+		*m = map[K]*membership.Conversation{}
 	}
-	c := (*m)[address]
+	c := (*m)[key]
 	if c == nil {
 		c = &membership.Conversation{}
-		(*m)[address] = c
+		(*m)[key] = c
 	}
 	return c
 }
@@ -64,15 +64,15 @@
 	return membership.Heartbeat{Member: e.member, Health: h}
 }
 
-// news is what this entry tells another one: to its own region the agents that it
-// heard itself, to another region all processes of its own.
+// news is what this entry tells another one: itself, and to its own region the
+// agents that it heard itself, to another region all processes of its own.
 func (e *Entry) news(now time.Time, to platform.Region) []membership.Heartbeat {
-	return e.directory.Digest(now, func(b membership.Heartbeat) bool {
+	return append(e.directory.Digest(now, func(b membership.Heartbeat) bool {
 		if b.Region != e.settings.Region || b.ID == e.member.ID {
 			return false
 		}
 		return to != e.settings.Region || b.Role == membership.RoleAgent && e.direct.IsAlive(b.ID)
-	})
+	}), e.ownBeat())
 }
 
 // exchange tells other entries who is alive and hears the same from them: all of
@@ -166,29 +166,46 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	e.conversations.mu.Lock()
-	digest := get(&e.conversations.out, address).Tell(e.ownBeat(), e.news(time.Now(), region))
+	digest := get(&e.conversations.out, address).Tell(e.member.ID, e.news(time.Now(), region))
 	e.conversations.mu.Unlock()
 	answer, err := link.Call[membership.Digest](ctx, e.pool, address, membership.MethodExchange, digest)
 	e.conversations.mu.Lock()
 	defer e.conversations.mu.Unlock()
 	if err != nil {
 		e.logger.Debug("exchange failed", "peer", address, "error", err)
-		// What the other side heard is not known: begin anew.
-		delete(e.conversations.out, address)
+		e.loseTouch(address, region)
 		return
 	}
 	get(&e.conversations.out, address).Hear(time.Now(), answer, &e.directory)
 }
 
+// loseTouch notes a failed exchange: what the other side heard is not known. An
+// entry of another region that does not answer is not counted on any more, and
+// the next one there is asked a second later. The lock of the conversations must
+// be held.
+func (e *Entry) loseTouch(address link.Address, region platform.Region) {
+	with := get(&e.conversations.out, address).With
+	delete(e.conversations.out, address)
+	if region != e.settings.Region {
+		e.directory.Forget(time.Now(), with)
+		e.conversations.lastFar = time.Time{}
+	}
+}
+
 // hearDigest answers another entry's exchange.
 func (e *Entry) hearDigest(_ context.Context, d membership.Digest) (membership.Digest, error) {
 	now := time.Now()
 	e.conversations.mu.Lock()
 	defer e.conversations.mu.Unlock()
-	c := get(&e.conversations.in, d.Sender.Address)
+	c := get(&e.conversations.in, d.From)
 	c.Hear(now, d, &e.directory)
 	e.refreshGate()
-	return c.Tell(e.ownBeat(), e.news(now, d.Sender.Region)), nil
+	sender, known := e.directory.Find(d.From)
+	if !known {
+		// Described before this process began; the answer asks for it again.
+		return c.Tell(e.member.ID, []membership.Heartbeat{e.ownBeat()}), nil
+	}
+	return c.Tell(e.member.ID, e.news(now, sender.Region)), nil
 }
 
 // hearHeartbeat answers an agent.
--- a/internal/process/membership/bench_test.go
+++ b/internal/process/membership/bench_test.go
@@ -56,8 +56,7 @@
 			var mine, theirs membership.Conversation
 			now := time.Now()
 			beats := agents(n)
-			sender := beats[0]
-			sender.ID, sender.Role = "entry1.1796337437072.f17aaf1a", membership.RoleEntry
+			const sender = "entry1.1796337437072.f17aaf1a"
 			theirs.Hear(now, mine.Tell(sender, beats), &there)
 			bytes := 0
 			for b.Loop() {
--- a/internal/process/membership/conversation.go
+++ b/internal/process/membership/conversation.go
@@ -6,11 +6,11 @@
 	"corianderpass/internal/process/incarnation"
 )
 
-// Digest is what entries tell each other once a second. Processes that have not
-// changed since they were described travel as numbers.
+// Digest is what entries tell each other. Processes that have not changed since
+// they were described travel as numbers, the sender among them.
 type Digest struct {
-	// Sender is the telling entry itself.
-	Sender Heartbeat
+	// From is the telling entry.
+	From incarnation.ID
 	// New describes processes that the other side may not know as they are now.
 	New []Described `json:",omitempty"`
 	// Same are processes that have not changed.
@@ -65,12 +65,13 @@
 	return h == other
 }
 
-// Tell makes the digest of the beats for the other entry.
-func (c *Conversation) Tell(sender Heartbeat, beats []Heartbeat) Digest {
+// Tell makes the digest of the beats for the other entry. The sender's own is one
+// of them.
+func (c *Conversation) Tell(from incarnation.ID, beats []Heartbeat) Digest {
 	if c.told == nil {
 		c.told = map[incarnation.ID]told{}
 	}
-	d := Digest{Sender: sender, Unknown: c.unknown}
+	d := Digest{From: from, Unknown: c.unknown}
 	c.unknown = nil
 	there := make(map[incarnation.ID]bool, len(beats))
 	for _, b := range beats {
@@ -97,14 +98,14 @@
 
 // Hear takes the other entry's digest into the directory.
 func (c *Conversation) Hear(now time.Time, d Digest, into *Directory) {
-	if c.With != d.Sender.ID {
-		*c = Conversation{With: d.Sender.ID}
+	if c.With != d.From {
+		*c = Conversation{With: d.From}
 	}
 	if c.heard == nil {
 		c.heard = map[Number]incarnation.ID{}
 	}
 	c.forget(d.Unknown)
-	beats := []Heartbeat{d.Sender}
+	var beats []Heartbeat
 	for _, n := range d.New {
 		c.heard[n.Number] = n.Beat.ID
 		beats = append(beats, n.Beat)
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -66,7 +66,7 @@
 	Lifetime = 3 * time.Second
 	// FarLifetime is the same for agents and for other regions, which are heard of
 	// more rarely. Whoever calls a dead one of those notices by itself.
-	FarLifetime = 8 * time.Second
+	FarLifetime = 12 * time.Second
 )
 
 // memory is how long a dead process is remembered, so that old news does not
@@ -229,9 +229,18 @@
 
 // IsAlive tells whether the process was heard of lately.
 func (d *Directory) IsAlive(id incarnation.ID) bool {
+	_, alive := d.Find(id)
+	return alive
+}
+
+// Find returns a living process.
+func (d *Directory) Find(id incarnation.ID) (Heartbeat, bool) {
 	list := d.Alive()
-	_, found := slices.BinarySearchFunc(list, id, func(b Heartbeat, id incarnation.ID) int { return cmp.Compare(b.ID, id) })
-	return found
+	i, found := slices.BinarySearchFunc(list, id, func(b Heartbeat, id incarnation.ID) int { return cmp.Compare(b.ID, id) })
+	if !found {
+		return Heartbeat{}, false
+	}
+	return list[i], true
 }
 
 // Rank orders members for a key by rendezvous hashing: every process computes
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -115,22 +115,21 @@
 		directory := &membership.Directory{}
 		now := time.Now()
 		sequence := uint64(0)
-		sender := beat("entry", 0, 0)
 		tell := func(leaving bool) membership.Digest {
 			sequence++
-			sender.Sequence = sequence
-			var beats []membership.Heartbeat
+			beats := []membership.Heartbeat{beat("entry", sequence, 0)}
 			for i := range 5 {
 				b := beat(fmt.Sprint("agent", i), sequence, 0)
 				b.Leaving = leaving && i == 0
 				beats = append(beats, b)
 			}
-			return here.Tell(sender, beats)
+			return here.Tell("entry", beats)
 		}
 		replaced := uint64(0)
 		answer := func() {
 			replaced++
-			here.Hear(now, there.Tell(beat(fmt.Sprint("other", replaced/100), replaced, 0), nil), &membership.Directory{})
+			other := fmt.Sprint("other", replaced/100)
+			here.Hear(now, there.Tell(incarnation.ID(other), []membership.Heartbeat{beat(other, replaced, 0)}), &membership.Directory{})
 		}
 		for range rapid.IntRange(0, 20).Draw(t, "rounds") {
 			now = now.Add(time.Second)
@@ -150,12 +149,15 @@
 			there.Hear(now, tell(true), directory)
 			answer()
 		}
+		if !directory.IsAlive("entry") {
+			t.Fatal("the sender is not known to be alive")
+		}
 		for i := range 5 {
 			if !directory.IsAlive(incarnation.ID(fmt.Sprint("agent", i))) {
 				t.Fatalf("agent %d is not known to be alive", i)
 			}
 		}
-		if !directory.Alive()[0].Leaving {
+		if first, _ := directory.Find("agent0"); !first.Leaving {
 			t.Fatal("a change was not told")
 		}
 	})
