internal/process/membership: tell versions beside numbers, ask before a status is given

Cause of TestARollIsInForceEverywhereInTime ('the status shows 1 processes behind', 14 of 24 parallel runs): other regions are asked every 5 s, so a status was as old. A status now begins with an exchange with all partners. Ruled out: asking other regions at every change of version, 1.4 KB a second by the arithmetic. Versions now travel beside the numbers where they differ from the teller's.

--- a/internal/connection/caller/caller.go
+++ b/internal/connection/caller/caller.go
@@ -38,5 +38,5 @@
 	ApproveBundle(ctx context.Context, c client.Consent) (client.BundleStatus, error)
 	RollBundle(ctx context.Context, c client.Consent) (client.BundleStatus, error)
 	Bundle() client.BundleStatus
-	Status() client.Status
+	Status(ctx context.Context) client.Status
 }
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -46,8 +46,8 @@
 	mux.HandleFunc("POST /v1/bundle/drafts", asSigner(h, s.DraftBundle))
 	mux.HandleFunc("POST /v1/bundle/approvals", asSigner(h, s.ApproveBundle))
 	mux.HandleFunc("POST /v1/bundle/rolls", asSigner(h, s.RollBundle))
-	mux.HandleFunc("GET /v1/bundle", asReader(h, func() any { return s.Bundle() }))
-	mux.HandleFunc("GET /v1/status", asReader(h, func() any { return s.Status() }))
+	mux.HandleFunc("GET /v1/bundle", asReader(h, func(context.Context) any { return s.Bundle() }))
+	mux.HandleFunc("GET /v1/status", asReader(h, func(ctx context.Context) any { return s.Status(ctx) }))
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, &client.Error{Code: client.CodeNotFound, Fate: client.FateNotRun, Message: "no such path: " + r.Method + " " + r.URL.Path})
 	})
@@ -165,13 +165,13 @@
 }
 
 // asReader serves what operators may read.
-func asReader(h *handler, f func() any) http.HandlerFunc {
+func asReader(h *handler, f func(context.Context) any) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if err := h.checkOperator(r); err != nil {
 			writeError(w, err)
 			return
 		}
-		writeJSON(w, http.StatusOK, f())
+		writeJSON(w, http.StatusOK, f(r.Context()))
 	}
 }
 
--- a/internal/connection/caller/handler_test.go
+++ b/internal/connection/caller/handler_test.go
@@ -35,7 +35,8 @@
 func (s *service) Leaving() bool                 { return s.leaving }
 func (s *service) ReaderKeys() []bundle.Operator { return nil }
 func (s *service) Bundle() client.BundleStatus   { return client.BundleStatus{Version: 1} }
-func (s *service) Status() client.Status         { return client.Status{Version: 1} }
+
+func (s *service) Status(context.Context) client.Status { return client.Status{Version: 1} }
 
 func (s *service) Serve(_ context.Context, c caller.Call) (ledger.Answer, error) {
 	s.asked = append(s.asked, c)
--- a/internal/process/entry/bundles_test.go
+++ b/internal/process/entry/bundles_test.go
@@ -44,9 +44,9 @@
 			time.Sleep(time.Duration(i*37) * time.Millisecond)
 		}
 		w.t.Logf("slowest of 20 rolls: %s", worst)
-		if lagging := w.any().Status().Lagging(); len(lagging) > 0 {
+		if lagging := w.any().Status(w.t.Context()).Lagging(); len(lagging) > 0 {
 			time.Sleep(2 * time.Second)
-			if lagging = w.any().Status().Lagging(); len(lagging) > 0 {
+			if lagging = w.any().Status(w.t.Context()).Lagging(); len(lagging) > 0 {
 				w.t.Errorf("the status shows %d processes behind", len(lagging))
 			}
 		}
@@ -258,15 +258,15 @@
 		}
 		gone([]int{0, 1, 2}, standin.WorkerFaults{Gone: true})
 		time.Sleep(5 * time.Second)
-		if s := w.any().Status(); s.Shortfall != 0 || s.Away != 3 {
+		if s := w.any().Status(w.t.Context()); s.Shortfall != 0 || s.Away != 3 {
 			w.t.Errorf("one rack lost: %d slots short, %d workers away", s.Shortfall, s.Away)
 		}
 		gone([]int{3, 4, 5, 6}, standin.WorkerFaults{Gone: true})
 		time.Sleep(5 * time.Second)
-		if s := w.any().Status(); s.Shortfall != 1 {
+		if s := w.any().Status(w.t.Context()); s.Shortfall != 1 {
 			w.t.Errorf("three of ten workers left for four slots: %d short", s.Shortfall)
 		}
 		gone([]int{0, 1, 2, 3, 4, 5, 6}, standin.WorkerFaults{})
-		w.await("no shortfall", time.Minute, func() bool { return w.any().Status().Shortfall == 0 })
+		w.await("no shortfall", time.Minute, func() bool { return w.any().Status(w.t.Context()).Shortfall == 0 })
 	})
 }
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -10,6 +10,7 @@
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/membership"
 	"corianderpass/internal/request/gate"
+	"corianderpass/internal/version/bundle"
 	"corianderpass/pkg/platform"
 )
 
@@ -58,10 +59,16 @@
 	h := membership.Health{
 		Sequence: e.sequence.Add(1), Leaving: e.leaving.Load(), Shortfall: int(e.shortfall.Load()),
 	}
+	h.Version = e.version()
+	return membership.Heartbeat{Member: e.member, Health: h}
+}
+
+// version returns the bundle in force here, 0 for none.
+func (e *Entry) version() bundle.Version {
 	if current := e.register.Current(); current != nil {
-		h.Version = current.Version
+		return current.Version
 	}
-	return membership.Heartbeat{Member: e.member, Health: h}
+	return 0
 }
 
 // news is what this entry tells another one: itself, and to its own region the
@@ -81,12 +88,17 @@
 	now := time.Now()
 	e.directory.Hear(now, e.ownBeat())
 	e.direct.Sweep(now)
+	e.exchangeAll(ctx, e.dueNow(now, e.partners()))
+	e.refreshGate()
+}
+
+// exchangeAll exchanges with the partners and returns when all have answered or failed.
+func (e *Entry) exchangeAll(ctx context.Context, partners map[link.Address]platform.Region) {
 	var group sync.WaitGroup
-	for address, region := range e.dueNow(now, e.partners()) {
+	for address, region := range partners {
 		group.Go(func() { e.exchangeWith(ctx, address, region) })
 	}
 	group.Wait()
-	e.refreshGate()
 }
 
 // dueNow leaves out the partners of other regions until their time has come.
@@ -166,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	e.conversations.mu.Lock()
-	digest := get(&e.conversations.out, address).Tell(e.member.ID, e.news(time.Now(), region))
+	digest := get(&e.conversations.out, address).Tell(e.member.ID, e.version(), e.news(time.Now(), region))
 	e.conversations.mu.Unlock()
 	answer, err := link.Call[membership.Digest](ctx, e.pool, address, membership.MethodExchange, digest)
 	e.conversations.mu.Lock()
@@ -203,9 +215,9 @@
 	sender, known := e.directory.Find(d.From)
 	if !known {
 		// Described before this process began; the answer asks for it again.
-		return c.Tell(e.member.ID, []membership.Heartbeat{e.ownBeat()}), nil
+		return c.Tell(e.member.ID, e.version(), []membership.Heartbeat{e.ownBeat()}), nil
 	}
-	return c.Tell(e.member.ID, e.news(now, sender.Region)), nil
+	return c.Tell(e.member.ID, e.version(), e.news(now, sender.Region)), nil
 }
 
 // hearHeartbeat answers an agent.
@@ -214,10 +226,7 @@
 	e.direct.Hear(now, r.Beat)
 	e.directory.Hear(now, r.Beat)
 	e.refreshGate()
-	reply := membership.HeartbeatReply{}
-	if current := e.register.Current(); current != nil {
-		reply.Version = current.Version
-	}
+	reply := membership.HeartbeatReply{Version: e.version()}
 	entries := e.directory.Digest(now, func(b membership.Heartbeat) bool {
 		return b.Role == membership.RoleEntry && b.Region == e.settings.Region
 	})
--- a/internal/process/entry/status.go
+++ b/internal/process/entry/status.go
@@ -1,18 +1,19 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"corianderpass/internal/process/ledger"
 	"corianderpass/pkg/client"
 )
 
-// Status returns what this entry knows of the whole.
-func (e *Entry) Status() client.Status {
+// Status returns what this entry knows of the whole, after asking the others for
+// their newest news: between two exchanges it may be seconds old.
+func (e *Entry) Status(ctx context.Context) client.Status {
+	e.exchangeAll(ctx, e.partners())
 	s := client.Status{Entry: string(e.member.ID), Region: string(e.settings.Region), LogDown: e.ledger.Down() || e.bundles.Down()}
-	if current := e.register.Current(); current != nil {
-		s.Version = uint64(current.Version)
-	}
+	s.Version = uint64(e.version())
 	e.ledger.Look(func(now time.Time) { e.describe(&s, now) })
 	for _, b := range e.directory.Alive() {
 		s.Processes = append(s.Processes, client.Process{
--- a/internal/process/entry/workers_test.go
+++ b/internal/process/entry/workers_test.go
@@ -115,7 +115,7 @@
 				w.t.Errorf("%s: %s %s", j.ID, j.Outcome, j.Error)
 			}
 		}
-		if s := w.any().Status(); s.Away != 1 {
+		if s := w.any().Status(w.t.Context()); s.Away != 1 {
 			w.t.Errorf("%d workers are away, want the one", s.Away)
 		}
 	})
@@ -136,7 +136,7 @@
 				w.t.Errorf("%+v", s)
 			}
 		}
-		if s := w.any().Status(); s.Away != 0 {
+		if s := w.any().Status(w.t.Context()); s.Away != 0 {
 			w.t.Errorf("%d workers were taken out for the jobs' faults", s.Away)
 		}
 	})
@@ -179,7 +179,7 @@
 		if s := w.job(w.any(), "timber", "greedy"); s.Outcome != "Succeeded" || s.Ended.Sub(s.Started) < 450*time.Second {
 			w.t.Errorf("ended %s after its start (%s): %+v", s.Ended.Sub(s.Started), time.Since(begun), s)
 		}
-		if s := w.any().Status(); s.Away != 0 {
+		if s := w.any().Status(w.t.Context()); s.Away != 0 {
 			w.t.Errorf("%d workers were taken out", s.Away)
 		}
 	})
--- a/internal/process/membership/bench_test.go
+++ b/internal/process/membership/bench_test.go
@@ -57,10 +57,10 @@
 			now := time.Now()
 			beats := agents(n)
 			const sender = "entry1.1796337437072.f17aaf1a"
-			theirs.Hear(now, mine.Tell(sender, beats), &there)
+			theirs.Hear(now, mine.Tell(sender, 4800, beats), &there)
 			bytes := 0
 			for b.Loop() {
-				data, err := json.Marshal(mine.Tell(sender, beats))
+				data, err := json.Marshal(mine.Tell(sender, 4800, beats))
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/process/membership/conversation.go
+++ b/internal/process/membership/conversation.go
@@ -4,13 +4,15 @@
 	"time"
 
 	"corianderpass/internal/process/incarnation"
+	"corianderpass/internal/version/bundle"
 )
 
 // Digest is what entries tell each other. Processes that have not changed since
 // they were described travel as numbers, the sender among them.
 type Digest struct {
-	// From is the telling entry.
-	From incarnation.ID
+	// From is the telling entry, Version the bundle in force there.
+	From    incarnation.ID
+	Version bundle.Version
 	// New describes processes that the other side may not know as they are now.
 	New []Described `json:",omitempty"`
 	// Same are processes that have not changed.
@@ -29,15 +31,30 @@
 	Beat   Heartbeat
 }
 
-// Seen tells how long ago a described process was heard of. It is written as a
-// pair to be short.
-type Seen [2]int64
+// Seen tells how long ago a described process was heard of. To be short it is
+// written as a list: the number, the age in milliseconds, and the bundle in force
+// there if it is another than the digest's.
+type Seen []int64
 
-// Number returns the process's number.
-func (s Seen) Number() Number { return Number(s[0]) }
+func (d Digest) seen(n Number, b Heartbeat) Seen {
+	s := Seen{int64(n), b.Age.Milliseconds()}
+	if b.Version != d.Version {
+		s = append(s, int64(b.Version))
+	}
+	return s
+}
 
-// Age returns how long ago it was heard of.
-func (s Seen) Age() time.Duration { return time.Duration(s[1]) * time.Millisecond }
+// read returns what the list says; ok is false for one of the wrong length.
+func (d Digest) read(s Seen) (n Number, age time.Duration, v bundle.Version, ok bool) {
+	if len(s) < 2 || len(s) > 3 {
+		return 0, 0, 0, false
+	}
+	v = d.Version
+	if len(s) == 3 {
+		v = bundle.Version(s[2])
+	}
+	return Number(s[0]), time.Duration(s[1]) * time.Millisecond, v, true
+}
 
 // Conversation is what an entry remembers of what it and one other entry told
 // each other. The zero value has told and heard nothing. It is not safe for
@@ -59,26 +76,26 @@
 }
 
 // sameAs tells whether a process can be told of by its number: nothing changed
-// but what every heartbeat changes.
+// but what travels beside the number, or what every heartbeat changes.
 func (h Heartbeat) sameAs(other Heartbeat) bool {
-	h.Sequence, h.Age, h.Busy = other.Sequence, other.Age, other.Busy
+	h.Sequence, h.Age, h.Busy, h.Version = other.Sequence, other.Age, other.Busy, other.Version
 	return h == other
 }
 
 // Tell makes the digest of the beats for the other entry. The sender's own is one
-// of them.
-func (c *Conversation) Tell(from incarnation.ID, beats []Heartbeat) Digest {
+// of them, and the version is the bundle in force there.
+func (c *Conversation) Tell(from incarnation.ID, v bundle.Version, beats []Heartbeat) Digest {
 	if c.told == nil {
 		c.told = map[incarnation.ID]told{}
 	}
-	d := Digest{From: from, Unknown: c.unknown}
+	d := Digest{From: from, Version: v, Unknown: c.unknown}
 	c.unknown = nil
 	there := make(map[incarnation.ID]bool, len(beats))
 	for _, b := range beats {
 		there[b.ID] = true
 		before, known := c.told[b.ID]
 		if known && before.beat.sameAs(b) {
-			d.Same = append(d.Same, Seen{int64(before.number), b.Age.Milliseconds()})
+			d.Same = append(d.Same, d.seen(before.number, b))
 			continue
 		}
 		if !known {
@@ -112,9 +129,13 @@
 	}
 	into.Hear(now, beats...)
 	for _, s := range d.Same {
-		id, known := c.heard[s.Number()]
-		if !known || !into.Touch(now, id, s.Age()) {
-			c.unknown = append(c.unknown, s.Number())
+		n, age, v, ok := d.read(s)
+		if !ok {
+			continue
+		}
+		id, known := c.heard[n]
+		if !known || !into.Touch(now, id, age, v) {
+			c.unknown = append(c.unknown, n)
 		}
 	}
 }
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -108,16 +108,16 @@
 		}
 		after := known{Heartbeat: b, sent: now.Add(-b.Age)}
 		d.members[b.ID] = after
-		changed = changed || !heard || !d.isAlive(before, now) || !before.sameAs(b)
+		changed = changed || !heard || !d.isAlive(before, now) || !before.sameAs(b) || before.Version != b.Version
 	}
 	if changed {
 		d.publish(now)
 	}
 }
 
-// Touch notes that a known process was heard of so long ago. It reports whether
-// the process is known.
-func (d *Directory) Touch(now time.Time, id incarnation.ID, age time.Duration) bool {
+// Touch notes that a known process was heard of so long ago, with the bundle in
+// force there. It reports whether the process is known.
+func (d *Directory) Touch(now time.Time, id incarnation.ID, age time.Duration, v bundle.Version) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	k, heard := d.members[id]
@@ -128,10 +128,11 @@
 	if !sent.After(k.sent) {
 		return true
 	}
-	revived := !d.isAlive(k, now)
+	changed := !d.isAlive(k, now) || v > k.Version
 	k.sent = sent
+	k.Version = max(k.Version, v)
 	d.members[id] = k
-	if revived {
+	if changed {
 		d.publish(now)
 	}
 	return true
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -9,6 +9,7 @@
 
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/membership"
+	"corianderpass/internal/version/bundle"
 )
 
 func beat(id string, sequence uint64, age time.Duration) membership.Heartbeat {
@@ -118,18 +119,20 @@
 		tell := func(leaving bool) membership.Digest {
 			sequence++
 			beats := []membership.Heartbeat{beat("entry", sequence, 0)}
+			beats[0].Version = bundle.Version(sequence)
 			for i := range 5 {
 				b := beat(fmt.Sprint("agent", i), sequence, 0)
 				b.Leaving = leaving && i == 0
+				b.Version = bundle.Version(sequence) - bundle.Version(i%2)
 				beats = append(beats, b)
 			}
-			return here.Tell("entry", beats)
+			return here.Tell("entry", bundle.Version(sequence), beats)
 		}
 		replaced := uint64(0)
 		answer := func() {
 			replaced++
 			other := fmt.Sprint("other", replaced/100)
-			here.Hear(now, there.Tell(incarnation.ID(other), []membership.Heartbeat{beat(other, replaced, 0)}), &membership.Directory{})
+			here.Hear(now, there.Tell(incarnation.ID(other), 0, []membership.Heartbeat{beat(other, replaced, 0)}), &membership.Directory{})
 		}
 		for range rapid.IntRange(0, 20).Draw(t, "rounds") {
 			now = now.Add(time.Second)
@@ -149,6 +152,12 @@
 			there.Hear(now, tell(true), directory)
 			answer()
 		}
+		for i, name := range []incarnation.ID{"agent0", "agent1", "entry"} {
+			want := bundle.Version(sequence) - bundle.Version(i%2)
+			if b, _ := directory.Find(name); b.Version != want {
+				t.Fatalf("%s has version %d there, want %d", name, b.Version, want)
+			}
+		}
 		if !directory.IsAlive("entry") {
 			t.Fatal("the sender is not known to be alive")
 		}
