--- a/cmd/corianderpass-experiment/main.go
+++ b/cmd/corianderpass-experiment/main.go
@@ -17,15 +17,18 @@
 var policies = []struct {
 	name   string
 	policy experiment.Policy
+	// noQuarantine switches off a rule that is not the policy's.
+	noQuarantine bool
 }{
-	{"full", placement.Policy{}},
-	{"naive", placement.Naive{}},
-	{"no backfill", placement.Policy{NoBackfill: true}},
-	{"no ageing", placement.Policy{NoAgeing: true}},
-	{"no correction", placement.Policy{NoCorrection: true}},
-	{"no patience", placement.Policy{NoPatience: true}},
-	{"no compaction", placement.Policy{NoCompaction: true}},
-	{"no moves", placement.Policy{NoMoves: true}},
+	{name: "full", policy: placement.Policy{}},
+	{name: "naive", policy: placement.Naive{}},
+	{name: "no backfill", policy: placement.Policy{NoBackfill: true}},
+	{name: "no ageing", policy: placement.Policy{NoAgeing: true}},
+	{name: "no correction", policy: placement.Policy{NoCorrection: true}},
+	{name: "no patience", policy: placement.Policy{NoPatience: true}},
+	{name: "no compaction", policy: placement.Policy{NoCompaction: true}},
+	{name: "no moves", policy: placement.Policy{NoMoves: true}},
+	{name: "no quarantine", policy: placement.Policy{}, noQuarantine: true},
 }
 
 func main() {
@@ -45,6 +48,7 @@
 		if !strings.Contains(p.name, *only) {
 			continue
 		}
+		w.NoQuarantine = p.noQuarantine
 		report := experiment.Run(w, p.policy)
 		report.Print(os.Stdout, p.name)
 		totals = append(totals, report.Totals(p.name))
--- a/internal/process/experiment/workload.go
+++ b/internal/process/experiment/workload.go
@@ -31,6 +31,8 @@
 	User User
 	// Calm leaves out faults and cancellations.
 	Calm bool
+	// NoQuarantine lets workers that fail everything go on to get jobs.
+	NoQuarantine bool
 }
 
 // User is one of the two users of the brief.
@@ -72,6 +74,9 @@
 		},
 		Limits: bundle.DefaultLimits(),
 	}
+	if w.NoQuarantine {
+		b.Sharing.QuarantineAfter = math.MaxInt
+	}
 	if w.User == UserTimber {
 		b.Sharing.CompletionWeight, b.Sharing.FragmentationWeight = 3, 1
 	}
