internal/process/gang: record a success before its leases are given back

Cause, by TestADriverMayDieWhenItsGangEnds ('driver killed after 10.3s: Failed stopped, and may run only once: lease on Mazowsze-w006 is gone'): a driver gave the leases of a succeeded gang back and then recorded the end. If it died in between, the next driver found no leases, and the job failed or would have run again. Ruled out: the adoption, which rightly calls a gang without leases gone. Change: a success is recorded first, while the workers still show it, and a driver that was superseded leaves the leases alone. A failed gang still stops its parts first, as it may be placed again at once.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -110,7 +110,7 @@
 	options := journal.Options{SnapshotAge: s.SnapshotAge.Std()}
 	e.bundles = journal.New(log, BundleStream, self, journal.Machine[bundle.Record](e.register), options)
 	e.ledger = journal.New(log, LedgerStream(s.Region), self, journal.Machine[ledger.Record](e.state), options)
-	e.driver = gang.NewDriver(workers, e.propose, e.isRunning)
+	e.driver = gang.NewDriver(workers, e.propose, e.lookup)
 	e.scheduler = newScheduler()
 	e.registerMetrics()
 	return e
@@ -235,14 +235,16 @@
 	e.exchange(ctx)
 }
 
-// isRunning tells whether the ledger has the job as running under the epoch.
-func (e *Entry) isRunning(id ledger.JobID, epoch platform.Epoch) bool {
-	running := false
+// lookup returns a copy of a job as the ledger has it.
+func (e *Entry) lookup(id ledger.JobID) (ledger.Job, bool) {
+	var found ledger.Job
+	known := false
 	e.ledger.Look(func(time.Time) {
-		j := e.state.Job(id)
-		running = j != nil && j.Epoch == epoch && j.Phase == ledger.PhaseRunning
+		if j := e.state.Job(id); j != nil {
+			found, known = *j, true
+		}
 	})
-	return running
+	return found, known
 }
 
 // Ready tells whether the entry should get callers, and the reason if not.
--- a/internal/process/entry/jobs_test.go
+++ b/internal/process/entry/jobs_test.go
@@ -323,3 +323,23 @@
 		}
 	})
 }
+
+// The failure: the driver is killed at every moment around the end of its gang. A
+// gang that succeeded has succeeded, and never runs again.
+func TestADriverMayDieWhenItsGangEnds(t *testing.T) {
+	for after := 9900 * time.Millisecond; after < 10700*time.Millisecond; after += 20 * time.Millisecond {
+		run(t, func(w *world) {
+			w.start()
+			w.log.SetFaults(standin.LogFaults{Delay: 15 * time.Millisecond})
+			w.submit(w.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 8, Accelerators: 4, RunOnce: true, Command: "work 10s"})
+			w.await("start", startBound, w.running("timber", "cut", 8))
+			driver := w.driverOf("timber", "cut")
+			time.Sleep(after)
+			w.kill(driver)
+			w.await("end", 2*time.Minute, w.ended("timber", "cut"))
+			if s := w.job(w.any(), "timber", "cut"); s.Outcome != "Succeeded" {
+				w.t.Errorf("driver killed after %s: %s %s", after, s.Outcome, s.Error)
+			}
+		})
+	}
+}
--- a/internal/process/gang/driver.go
+++ b/internal/process/gang/driver.go
@@ -19,8 +19,8 @@
 // Propose appends a record and returns its verdict, as journal.Journal.Propose.
 type Propose func(ctx context.Context, r ledger.Record) error
 
-// IsRunning tells whether the ledger has the job as running under the epoch.
-type IsRunning func(id ledger.JobID, epoch platform.Epoch) bool
+// Lookup returns a copy of a job as the ledger has it.
+type Lookup func(id ledger.JobID) (ledger.Job, bool)
 
 // Rules are what the bundle says of checkpoints.
 type Rules struct {
@@ -32,10 +32,10 @@
 
 // Driver drives the gangs of one process. Tick must be called by one goroutine.
 type Driver struct {
-	workers   platform.Workers
-	propose   Propose
-	isRunning IsRunning
-	renewer   *renewer
+	workers platform.Workers
+	propose Propose
+	lookup  Lookup
+	renewer *renewer
 
 	mu sync.Mutex
 	// gangs under way, by job.
@@ -56,14 +56,14 @@
 }
 
 // NewDriver returns a driver without gangs.
-func NewDriver(workers platform.Workers, propose Propose, isRunning IsRunning) *Driver {
+func NewDriver(workers platform.Workers, propose Propose, lookup Lookup) *Driver {
 	return &Driver{
-		workers:   workers,
-		propose:   propose,
-		isRunning: isRunning,
-		renewer:   newRenewer(workers),
-		gangs:     map[ledger.JobID]*active{},
-		ended:     make(chan ledger.JobID, 64),
+		workers: workers,
+		propose: propose,
+		lookup:  lookup,
+		renewer: newRenewer(workers),
+		gangs:   map[ledger.JobID]*active{},
+		ended:   make(chan ledger.JobID, 64),
 	}
 }
 
--- a/internal/process/gang/gang.go
+++ b/internal/process/gang/gang.go
@@ -27,6 +27,9 @@
 	watchEvery = 100 * time.Millisecond
 	// awayAfter is how many failed calls in a row make a worker count as away.
 	awayAfter = 3
+	// releaseTimeout bounds the release of leases of a gang whose end is recorded;
+	// what is left lapses.
+	releaseTimeout = 10 * time.Second
 	// proposeTimeout bounds the wait for a verdict.
 	proposeTimeout = 5 * time.Second
 )
@@ -129,7 +132,14 @@
 // committed tells whether a repeated commit is void because an earlier one of
 // unknown fate took effect.
 func (g *gang) committed(err error) bool {
-	return isVoid(err) && g.driver.isRunning(g.job.ID, g.job.Epoch)
+	j, known := g.driver.lookup(g.job.ID)
+	return isVoid(err) && known && j.Epoch == g.job.Epoch && j.Phase == ledger.PhaseRunning
+}
+
+// superseded tells whether the ledger gave the gang to another driver.
+func (g *gang) superseded() bool {
+	j, known := g.driver.lookup(g.job.ID)
+	return known && j.Epoch > g.job.Epoch
 }
 
 // adopt takes the running leases over under the own epoch.
@@ -215,12 +225,32 @@
 	return g.job.Progress + time.Since(begun)
 }
 
-// finish gives the leases back and records the end.
+// finish ends a gang that ended by itself. A success is recorded while the leases
+// still show it: were they given back first and the driver died, the next one
+// would find nothing and start the gang again. A failed gang may be placed again
+// as soon as that is recorded, so its parts are stopped before.
 func (g *gang) finish(ctx context.Context, f ledger.Finish) {
-	g.releaseAll(ctx)
 	f.Job = g.job.ID
 	f.Epoch = g.job.Epoch
+	if f.Failed {
+		g.releaseAll(ctx)
+		g.settle(ctx, ledger.Record{Finish: &f})
+		return
+	}
 	g.settle(ctx, ledger.Record{Finish: &f})
+	if ctx.Err() != nil && !g.ended() || g.superseded() {
+		return
+	}
+	// With the end recorded the gang is let go of, but its leases are still here.
+	after, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	g.releaseAll(after)
+}
+
+// ended tells whether the ledger has the end of the gang under this epoch.
+func (g *gang) ended() bool {
+	j, known := g.driver.lookup(g.job.ID)
+	return known && j.Epoch == g.job.Epoch && j.Phase == ledger.PhaseEnded
 }
 
 // finishStopping lets a running gang keep its progress, then stops it.
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -97,7 +97,8 @@
 	Away []platform.WorkerID `json:",omitempty"`
 }
 
-// Finish tells that a running gang ended by itself and gave its leases back.
+// Finish tells that a running gang ended by itself. A failed one has given its
+// leases back; those of one that succeeded follow.
 type Finish struct {
 	Job    JobID
 	Epoch  platform.Epoch
