internal/process/agent: hold answers to the service's limit

Found by the closing read: AnswerLimit of a service was read and checked, and used by nobody. Orders carry it now, and the agent holds answers to it. TestAnAnswerOverTheBundlesLimitIsToldAsRan: without it a 40-byte answer passed a limit of 20 bytes; with it the caller is told AnswerTooLong, fate Ran, also for a repeated ID, and the request ran once.

--- a/internal/process/agent/minion.go
+++ b/internal/process/agent/minion.go
@@ -113,9 +113,17 @@
 	headerDispatch     = "Corianderpass-Dispatch"
 )
 
-// maxAnswer bounds the bytes of an answer.
+// maxAnswer bounds the bytes of an answer whatever the bundle allows.
 const maxAnswer = 16 << 20
 
+// limitOf returns the longest answer that the order may get.
+func limitOf(o dispatch.Order) int {
+	if o.AnswerLimit <= 0 {
+		return maxAnswer
+	}
+	return min(maxAnswer, o.AnswerLimit)
+}
+
 // run hands an order to the minion.
 func (m *minion) run(ctx context.Context, o dispatch.Order) dispatch.Reply {
 	client, a := m.client()
@@ -137,12 +145,14 @@
 		return failedCall(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	limit := limitOf(o)
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
 	if err != nil {
 		return dispatch.Reply{Answer: ledger.Answer{Fate: ledger.FateUnknown, Error: "agent: answer was cut: " + err.Error()}}
 	}
-	if len(body) > maxAnswer {
-		return dispatch.Reply{Answer: ledger.Answer{Fate: ledger.FateRan, Status: http.StatusBadGateway, Error: "agent: answer is too long"}}
+	if len(body) > limit {
+		text := fmt.Sprintf("agent: the answer is longer than %d bytes", limit)
+		return dispatch.Reply{Answer: ledger.Answer{Fate: ledger.FateRan, Status: http.StatusBadGateway, Error: text}}
 	}
 	return dispatch.Reply{Answer: ledger.Answer{Fate: ledger.FateRan, Status: response.StatusCode, Body: body}}
 }
--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -83,8 +83,12 @@
 }
 
 func (e *Entry) order(ctx context.Context, c caller.Call, pass gate.Pass, keep bool) dispatch.Order {
+	limit := 0
+	if service, known := e.register.Current().Bundle.Service(c.Service); known {
+		limit = service.AnswerLimit
+	}
 	return dispatch.Order{
-		ID: e.nextDispatch(), Agent: pass.Agent.ID, Organisation: c.Organisation.Name, Service: c.Service,
+		ID: e.nextDispatch(), AnswerLimit: limit, Agent: pass.Agent.ID, Organisation: c.Organisation.Name, Service: c.Service,
 		RequestID: c.RequestID, Body: c.Body, Within: timeForAgent(ctx), Whole: e.requestTime(), Keep: keep,
 	}
 }
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,6 +52,27 @@
 	})
 }
 
+// The failure: a minion answers with more than the bundle allows. The caller hears
+// that it ran and that the answer cannot be given, with or without an ID.
+func TestAnAnswerOverTheBundlesLimitIsToldAsRan(t *testing.T) {
+	run(t, func(w *world) {
+		w.document = strings.Replace(w.document, "Name = \"evidence\"\n", "Name = \"evidence\"\nAnswerLimit = 20\n", 1)
+		w.start()
+		if answer, err := w.call(w.entries["e1"], "", "short", true); err != nil || string(answer.Body) != "answer to short" {
+			w.t.Errorf("%q, %v", answer.Body, err)
+		}
+		for _, id := range []string{"", "order-1", "order-1"} {
+			_, err := w.call(w.entries["e2"], id, "much too long for twenty bytes", false)
+			if e := client.AsError(err); e == nil || e.Code != client.CodeAnswerTooLong || e.Fate != client.FateRan {
+				w.t.Errorf("ID %q: %v", id, err)
+			}
+		}
+		if n := w.runs(w.posts()...)["timber/order-1"]; n != 1 {
+			w.t.Errorf("ran %d times", n)
+		}
+	})
+}
+
 // The failure: the entry that owns the claim is killed, or cut off, at every
 // moment of the request's life. The caller who asks the other entry gets the
 // one whole answer, and the request runs once.
--- a/internal/request/dispatch/dispatch.go
+++ b/internal/request/dispatch/dispatch.go
@@ -32,6 +32,8 @@
 	Within time.Duration
 	// Whole is the time that the request had in all.
 	Whole time.Duration
+	// AnswerLimit is the longest answer in bytes that the bundle allows.
+	AnswerLimit int
 	// Keep asks the agent to keep the answer for later askers.
 	Keep bool `json:",omitempty"`
 }
