--- a/internal/process/agent/agent.go
+++ b/internal/process/agent/agent.go
@@ -79,9 +79,6 @@
 	return a
 }
 
-// Incarnation returns the agent's incarnation.
-func (a *Agent) Incarnation() incarnation.ID { return a.member.ID }
-
 // Announce takes a minion's announcement in. The entries hear at once of what has
 // changed, and the rest with the next heartbeat.
 func (a *Agent) Announce(n Announcement) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -116,9 +116,6 @@
 	return e
 }
 
-// Incarnation returns the entry's incarnation.
-func (e *Entry) Incarnation() incarnation.ID { return e.member.ID }
-
 // Start begins all that goes on without callers. The channel yields one error
 // when all of it has ended after the context.
 func (e *Entry) Start(ctx context.Context) <-chan error {
