internal/process/scheduler: test that a withdrawn suspicion is a sign of life

Cause: the line that counts it had no test (docs/UNPROVED.md). Change: an agent of the test world may lose its heartbeats while it reads and appends at once. 10 s of that record 7 entries or so; the test allows 20. Failed first: with the line taken out on the tree, 111 records in 10 s.

--- a/internal/process/scheduler/world_runs_test.go
+++ b/internal/process/scheduler/world_runs_test.go
@@ -299,3 +299,24 @@
 		}
 	})
 }
+
+// The failure: heartbeats are lost while their agent reads and appends at once. It
+// withdraws a suspicion before the leader looks again, and was suspected anew at
+// every look.
+func TestAWithdrawnSuspicionIsASignOfLife(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		a := w.addWorker(room())
+		a.prompt.Store(true)
+		time.Sleep(4 * time.Second)
+		w.takesAlways(20 * time.Second)
+		w.submit(spec("job", 1, small()))
+		time.Sleep(time.Second)
+		before, _ := w.log.Counts()
+		a.unheard.Store(true)
+		time.Sleep(10 * time.Second)
+		// Every 2.5 s a suspicion and its withdrawal, and what else is recorded.
+		if after, _ := w.log.Counts(); after-before > 20 {
+			t.Errorf("%d records in 10 s", after-before)
+		}
+	})
+}
--- a/internal/process/scheduler/world_test.go
+++ b/internal/process/scheduler/world_test.go
@@ -195,6 +195,10 @@
 	away bool
 	// draining is what the minion reports.
 	draining atomic.Bool
+	// unheard agents' heartbeats are lost.
+	unheard atomic.Bool
+	// prompt agents read the stream without pauses.
+	prompt   atomic.Bool
 	sequence uint64
 }
 
@@ -223,24 +227,31 @@
 	state := workload.NewState()
 	j := journal.New(a.log, "Workload", self, journal.Machine[workload.Record](state), journal.Options{
 		Clock: w.clock, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond,
-		MaySnapshot: func() bool { return false }, ReadPause: func() time.Duration { return testPause },
+		MaySnapshot: func() bool { return false }, ReadPause: a.readPause,
 	})
 	w.mu.Lock()
 	w.journals[incarnation.Address(a.machine)] = j
 	w.mu.Unlock()
-	a.runner = runner.New(runner.Settings{Lease: testLease, Address: incarnation.Address(a.machine)}, self, j, state, cutLog{&w.presence, a.log}, a.minion, w.clock, testLogger(string(a.machine)), metrics.NewSet())
+	a.runner = runner.New(runner.Settings{Lease: testLease, Address: incarnation.Address(a.machine)}, self, j, state, cutLog{&w.presence, a}, a.minion, w.clock, testLogger(string(a.machine)), metrics.NewSet())
 	a.away = false
 	a.stop = w.run(j.Start, a.runner.Start, a.reports)
 }
 
+func (a *testAgent) readPause() time.Duration {
+	if a.prompt.Load() {
+		return 0
+	}
+	return testPause
+}
+
 // cutLog is the presence stream of a process that can be cut off.
 type cutLog struct {
 	platform.Log
-	by *standin.KeyedLog
+	by *testAgent
 }
 
 func (c cutLog) Append(ctx context.Context, s platform.Stream, payload []byte) (platform.Offset, error) {
-	if c.by.RefusesAppends() {
+	if c.by.unheard.Load() || c.by.log.RefusesAppends() {
 		return 0, platform.ErrLogDown
 	}
 	return c.Log.Append(ctx, s, payload)
