internal/process/runner: announce workers before the first record of the stream

Cause: a token base of 0 means 'not known yet', and an empty stream's offset is 0; agents on one waited for the first job before they announced their workers. Change: the base counts from the next offset. Test failed first: 0 of 2 workers.

--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -14,7 +14,7 @@
 		}
 		// Earlier agents took their base before they announced themselves, and their
 		// announcement is in the workload that this one has read.
-		r.base = Token(r.journal.Offset()) * tokenGenerations
+		r.base = Token(r.journal.Offset()+1) * tokenGenerations
 	}
 	l := r.life
 	if l == nil || !r.fresh() {
--- a/internal/process/scheduler/world_runs_test.go
+++ b/internal/process/scheduler/world_runs_test.go
@@ -320,3 +320,19 @@
 		}
 	})
 }
+
+// The failure: agents on a stream in which nothing was ever recorded waited for the
+// first job before they announced their workers.
+func TestWorkersAreAnnouncedBeforeTheFirstJob(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.addWorker(room())
+		w.addWorker(room())
+		time.Sleep(4 * time.Second)
+		e := w.entries[0]
+		e.journal.Look(func(time.Time) {
+			if n := len(e.state.Workers()); n != 2 {
+				t.Errorf("%d workers are announced, want 2", n)
+			}
+		})
+	})
+}
