platform/standin: one minion for tests over HTTP and in memory

Cause: platform/standin had a second minion, simpler than the one in memory, that saw neither double runs nor room. The soak with real programs needs those checks. Change: the minion over HTTP speaks for a standin.TaskMinion. TaskMinion also tells of a start after an end that was taken note of, or that is taken note of later, unless the lease ran out between (the rule on double runs).

--- a/cmd/corianderpass-platform-standin/main.go
+++ b/cmd/corianderpass-platform-standin/main.go
@@ -14,6 +14,9 @@
 	"syscall"
 	"time"
 
+	"corianderpass/internal/process/runner"
+	base "corianderpass/internal/process/standin"
+	"corianderpass/internal/process/workload"
 	"corianderpass/platform/standin"
 )
 
@@ -53,8 +56,13 @@
 	for i := 1; i <= minions; i++ {
 		calls, control := address(2+2*i), address(3+2*i)
 		m := &standin.Minion{
-			ID: fmt.Sprint("i-", i), Machine: fmt.Sprint("m-", i), Service: "service", Address: calls, Labels: []string{"a", "r1"},
-			CPU: 8000, MemMB: 8000, GPUs: 8, Work: time.Second,
+			Tasks: &base.TaskMinion{
+				ID: runner.MinionID(fmt.Sprint("i-", i)), Room: workload.Resources{Cores: 8000, Memory: 8000, Accelerators: 8},
+				Claim:  func(workload.TaskRef) workload.Resources { return workload.Resources{} },
+				Work:   func(workload.TaskRef, workload.Run) time.Duration { return time.Second },
+				Broken: func(text string) { fmt.Fprintln(os.Stderr, "corianderpass-platform-standin:", text) },
+			},
+			Machine: fmt.Sprint("m-", i), Service: "service", Address: calls, Labels: []string{"a", "r1"},
 		}
 		m.Begin()
 		if err := serve(ctx, calls, m.Handler(), ended); err != nil {
--- a/internal/process/standin/taskminion.go
+++ b/internal/process/standin/taskminion.go
@@ -22,7 +22,7 @@
 	Claim func(workload.TaskRef) workload.Resources
 	Work  func(workload.TaskRef, workload.Run) time.Duration
 	// Fails tells whether a run fails at its end; nil means never.
-	Fails func(workload.TaskRef, workload.Run) bool
+	Fails func(runner.Start) bool
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
 	// Broken is called for everything that must never happen.
@@ -36,11 +36,14 @@
 	lose   int
 	token  runner.Token
 	lease  runner.MinionClock
-	seen   uint64
 	number uint64
 	active map[workload.TaskRef]*activeRun
 	newest map[workload.TaskRef]workload.Run
 	ended  []workload.End
+	// endedAt are when the listed ends came about, by number.
+	endedAt map[uint64]time.Time
+	// lapsed is when the lease ran out last.
+	lapsed time.Time
 	grown  chan struct{}
 }
 
@@ -58,12 +61,13 @@
 func (m *TaskMinion) Begin() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.stopAll(time.Now())
+	m.stopAll()
 	m.born = time.Now()
-	m.token, m.lease, m.seen, m.number = 0, 0, 0, 0
+	m.token, m.lease, m.number = 0, 0, 0
 	m.active = map[workload.TaskRef]*activeRun{}
 	m.newest = map[workload.TaskRef]workload.Run{}
-	m.ended = nil
+	m.ended, m.endedAt = nil, map[uint64]time.Time{}
+	m.lapsed = time.Time{}
 	m.grown = make(chan struct{})
 	m.dark = false
 }
@@ -75,7 +79,7 @@
 	m.settle()
 	m.dark = dark
 	if crash {
-		m.stopAll(time.Now())
+		m.stopAll()
 		m.active = map[workload.TaskRef]*activeRun{}
 	}
 }
@@ -94,9 +98,23 @@
 	return m.born.UnixMilli()
 }
 
-func (m *TaskMinion) stopAll(at time.Time) {
+// Clock returns the minion's own time.
+func (m *TaskMinion) Clock() runner.MinionClock {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.clock()
+}
+
+// IsDark tells whether the minion is silent.
+func (m *TaskMinion) IsDark() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dark
+}
+
+func (m *TaskMinion) stopAll() {
 	for ref, a := range m.active {
-		m.Runs.end(ref, a.run, at, false)
+		m.Runs.end(ref, a.run, false)
 	}
 }
 
@@ -126,6 +144,9 @@
 func (m *TaskMinion) settle() {
 	now := time.Now()
 	leaseEnd := m.born.Add(time.Duration(m.lease) * time.Millisecond)
+	if m.lease > 0 && leaseEnd.Before(now) {
+		m.lapsed = leaseEnd
+	}
 	for ref, a := range m.active {
 		ends, how := a.ends, a.how
 		if leaseEnd.Before(ends) {
@@ -137,7 +158,8 @@
 		delete(m.active, ref)
 		m.number++
 		m.ended = append(m.ended, workload.End{Number: m.number, Task: ref, Run: a.run, How: how})
-		m.Runs.end(ref, a.run, ends, how == workload.HowDone)
+		m.endedAt[m.number] = ends
+		m.Runs.end(ref, a.run, how == workload.HowDone)
 	}
 	slices.SortFunc(m.ended, func(a, b workload.End) int { return int(a.Number) - int(b.Number) })
 }
@@ -185,7 +207,7 @@
 	m.checkRoom(o.Task)
 	m.newest[o.Task] = o.Run
 	a := &activeRun{run: o.Run, began: time.Now(), ends: time.Now().Add(m.Work(o.Task, o.Run)), how: workload.HowDone}
-	if m.Fails != nil && m.Fails(o.Task, o.Run) {
+	if m.Fails != nil && m.Fails(o) {
 		a.how = workload.HowFailed
 	}
 	m.active[o.Task] = a
@@ -253,29 +275,61 @@
 	}
 	m.token = o.Token
 	m.prolong(o.Lease)
-	m.seen = max(m.seen, o.Seen)
+	m.forget(o.Seen)
 	s := runner.Sight{Clock: m.clock(), Born: m.born.UnixMilli()}
 	for ref, a := range m.active {
 		done := float64(time.Since(a.began)) / float64(a.ends.Sub(a.began))
 		s.Running = append(s.Running, runner.Running{Task: ref, Run: a.run, Percent: int(100 * done)})
 	}
-	for _, e := range m.ended {
-		if e.Number > m.seen {
-			s.Ended = append(s.Ended, e)
-		}
-	}
+	s.Ended = slices.Clone(m.ended)
 	return s, nil
 }
 
+// forget drops the ends up to a number. They are thereby taken note of, but for
+// those after which the lease has run out. The lock must be held.
+func (m *TaskMinion) forget(upTo uint64) {
+	m.ended = slices.DeleteFunc(m.ended, func(e workload.End) bool {
+		if e.Number > upTo {
+			return false
+		}
+		if e.How == workload.HowDone && m.lapsed.Before(m.endedAt[e.Number]) {
+			m.Runs.note(e.Task, e.Run, m.Broken)
+		}
+		delete(m.endedAt, e.Number)
+		return true
+	})
+}
+
 var _ runner.Minion = (*TaskMinion)(nil)
 
 // RunLog sees every start and end of all minions of a test, and tells when a task
 // runs twice. The zero value is ready to use; nil sees nothing.
 type RunLog struct {
-	mu      sync.Mutex
-	running map[workload.TaskRef]int
-	done    map[workload.TaskRef]int
-	starts  int
+	mu     sync.Mutex
+	tasks  map[workload.TaskRef]*taskLog
+	starts int
+}
+
+// taskLog is what was seen of one task.
+type taskLog struct {
+	running, starts int
+	// done holds how often the task had started when a run ended done.
+	done map[workload.Run]int
+	// noted tasks have an end that was taken note of.
+	noted bool
+}
+
+// get returns what is known of a task. The lock must be held.
+func (l *RunLog) get(ref workload.TaskRef) *taskLog {
+	if l.tasks == nil {
+		l.tasks = map[workload.TaskRef]*taskLog{}
+	}
+	t := l.tasks[ref]
+	if t == nil {
+		t = &taskLog{done: map[workload.Run]int{}}
+		l.tasks[ref] = t
+	}
+	return t
 }
 
 func (l *RunLog) start(ref workload.TaskRef, run workload.Run, broken func(string)) {
@@ -284,25 +338,42 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.running == nil {
-		l.running, l.done = map[workload.TaskRef]int{}, map[workload.TaskRef]int{}
-	}
 	l.starts++
-	l.running[ref]++
-	if l.running[ref] > 1 {
+	t := l.get(ref)
+	t.starts++
+	t.running++
+	if t.running > 1 {
 		broken(fmt.Sprintf("%s runs twice, run %d", ref, run))
 	}
+	if t.noted {
+		broken(fmt.Sprintf("%s starts after its end was taken note of, run %d", ref, run))
+	}
 }
 
-func (l *RunLog) end(ref workload.TaskRef, _ workload.Run, _ time.Time, done bool) {
+func (l *RunLog) end(ref workload.TaskRef, run workload.Run, done bool) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.running[ref]--
+	t := l.get(ref)
+	t.running--
 	if done {
-		l.done[ref]++
+		t.done[run] = t.starts
+	}
+}
+
+// note tells that an end of a run that was done was taken note of.
+func (l *RunLog) note(ref workload.TaskRef, run workload.Run, broken func(string)) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.get(ref)
+	t.noted = true
+	if t.starts > t.done[run] {
+		broken(fmt.Sprintf("%s was started again after the end of run %d, which is now taken note of", ref, run))
 	}
 }
 
@@ -312,3 +383,11 @@
 	defer l.mu.Unlock()
 	return l.starts
 }
+
+// Seen returns how often a task has started, ended done, and runs now.
+func (l *RunLog) Seen(ref workload.TaskRef) (starts, done, running int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.get(ref)
+	return t.starts, len(t.done), t.running
+}
