internal/process/command: bound refusals by the deployment's own visibility

Cause: entries said that a job does not exist on knowledge of up to 2.2 s, a figure made for a bound of 3 s. A deployment with a shorter bound would break its rule.

--- a/internal/process/command/deployed.go
+++ b/internal/process/command/deployed.go
@@ -66,8 +66,9 @@
 	deployedSnapshotEvery = 200
 	// tokenMargin is what the age of a bundle stays below the bound on removed tokens.
 	tokenMargin = 300 * time.Millisecond
-	// refusalAge is the greatest age of knowledge on which a refusal is based.
-	refusalAge = 2200 * time.Millisecond
+	// refusalShare is the part of the bound on visibility that knowledge may be old
+	// on which a refusal is based; the rest is for the answer's way.
+	refusalShare = 0.75
 	// noticeTime is how long a leaving entry serves on, until the balancer has seen
 	// twice that it is not ready.
 	noticeTime = 2200 * time.Millisecond
--- a/internal/process/command/deployed_entry.go
+++ b/internal/process/command/deployed_entry.go
@@ -39,7 +39,7 @@
 }
 
 func provideIntakeSettings(s adapter.Settings) intake.Settings {
-	return intake.Settings{TokenProof: s.Bounds.Revoke - tokenMargin, Refusal: refusalAge}
+	return intake.Settings{TokenProof: s.Bounds.Revoke - tokenMargin, Refusal: time.Duration(refusalShare * float64(s.Bounds.Visible))}
 }
 
 func newDeployedEntry(s adapter.Settings, j *journal.Journal[workload.Record], state *workload.State, sch *scheduler.Scheduler,
--- /dev/null
+++ b/internal/process/command/export_test.go
@@ -0,0 +1,4 @@
+package command
+
+// IntakeSettings bridges to the tests.
+var IntakeSettings = provideIntakeSettings
