internal/process/allocation: learn durations of a step from its own runs

Change: from runs seen on three workers the median of a step is what its tasks are expected to take; a run that is only estimated counts half in the judgement of its worker. The simulation goes through runs in a fixed order. Test: TestAWrongEstimateDoesNotMakeWorkersSlow; failed first (16 runs stopped).

--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -227,8 +227,8 @@
 // make all others look slow.
 func TestOneShortRunDoesNotChangeWhatIsExpected(t *testing.T) {
 	var m allocation.Memory
-	m.Learn("queue", 10*time.Second, 100*time.Millisecond)
 	j := &workload.Job{JobSpec: workload.JobSpec{Queue: "queue", Steps: []workload.StepSpec{{Tasks: 1, Estimate: 10 * time.Second}}}}
+	m.Learn(j, workload.TaskRef{}, 100*time.Millisecond)
 	if d := m.Duration(j, 0); d < 7*time.Second {
 		t.Fatalf("expects %v after one short run", d)
 	}
@@ -279,3 +279,24 @@
 		}
 	}
 }
+
+// The load: a large job whose estimate is a tenth of what its tasks take. Its workers
+// are not slow, and nothing must move.
+func TestAWrongEstimateDoesNotMakeWorkersSlow(t *testing.T) {
+	f := newField(t, 6, 8)
+	f.submit("batch", 2, step(32, 1, time.Second))
+	f.decide()
+	f.memory.Note(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
+	f.now += time.Second
+	for _, w := range f.state.Workers() {
+		for r, run := range w.Runs {
+			f.memory.Project(r, run, 9*time.Second, f.now)
+		}
+	}
+	if d := f.decide(); len(d.Stops) != 0 {
+		t.Fatalf("stops %d runs of ten seconds that were estimated at one", len(d.Stops))
+	}
+	if d := f.memory.Duration(f.state.Job("batch"), 0); d < 9*time.Second || d > 11*time.Second {
+		t.Errorf("expects %v of the others", d)
+	}
+}
--- a/internal/process/allocation/memory.go
+++ b/internal/process/allocation/memory.go
@@ -31,6 +31,7 @@
 	runs    map[workload.TaskRef]began
 	workers map[workload.LifeID]*workerMemory
 	factors map[bundle.QueueName]factor
+	steps   map[stepRef]*experience
 }
 
 // factor is the mean of how many times their estimate the tasks of a queue took.
@@ -42,6 +43,7 @@
 // began is what was observed of a run.
 type began struct {
 	run workload.Run
+	on  workload.LifeID
 	// at is when it was first seen.
 	at time.Duration
 	// ends is when it will probably end; it means nothing before projected.
@@ -49,6 +51,8 @@
 	projected bool
 	// stalled runs make no progress.
 	stalled bool
+	// resumed runs did not begin at the beginning.
+	resumed bool
 }
 
 // Stalled is the time left of a run that makes no progress.
@@ -64,6 +68,9 @@
 	b.projected = !b.stalled
 	if b.projected {
 		b.ends = now + left
+		if !b.resumed {
+			m.experienced(r, b.on, b.ends-b.at)
+		}
 	}
 	m.runs[r] = b
 }
@@ -101,6 +108,9 @@
 	// speedPrior is the number of runs of ordinary speed that the judgement on a
 	// worker begins with, since one estimate alone is often wrong.
 	speedPrior = 0.5
+	// estimateWeight is what a run counts in that judgement whose usual duration is
+	// only estimated.
+	estimateWeight = 0.5
 	// slowMemory is how long a worker that was seen to be slow gets nothing new.
 	slowMemory = 3 * time.Second
 	// stallTime is how long a stalled run is expected to stand still.
@@ -110,9 +120,9 @@
 // noteSpeeds judges the workers by the progress of their runs.
 func (m *Memory) noteSpeeds(s *workload.State, now time.Duration) {
 	for id, w := range s.Workers() {
-		sum, n := 0.0, 0
+		sum, n := 0.0, 0.0
 		stalled := false
-		for r := range w.Runs {
+		for _, r := range w.SortedRuns() {
 			b := m.runs[r]
 			j := s.Job(r.Job)
 			if j.Steps[r.Step].LongRunning || spansWorkers(j, r) {
@@ -121,14 +131,18 @@
 			}
 			stalled = stalled || b.stalled
 			if b.projected {
+				weight := estimateWeight
+				if _, known := m.usual(j.ID, r.Step); known {
+					weight = 1
+				}
 				if expected := m.Duration(j, r.Step); expected > 0 {
-					sum += math.Log(float64(b.ends-b.at) / float64(expected))
-					n++
+					sum += weight * math.Log(float64(b.ends-b.at)/float64(expected))
+					n += weight
 				}
 			}
 		}
 		o := m.workers[id]
-		if stalled || n > 0 && sum/(float64(n)+speedPrior) > math.Log(slowFactor) {
+		if stalled || n > 0 && sum/(n+speedPrior) > math.Log(slowFactor) {
 			o.slow, o.slowSeen = true, now
 		} else if o.slow && now-o.slowSeen > slowMemory {
 			o.slow = false
@@ -192,14 +206,15 @@
 			delete(m.jobs, id)
 		}
 	}
+	m.forgetSteps(s)
 }
 
 func (m *Memory) noteRuns(s *workload.State, now time.Duration, ago func(int64) time.Duration) {
-	for _, w := range s.Workers() {
+	for id, w := range s.Workers() {
 		for r, run := range w.Runs {
 			if m.runs[r].run != run {
 				_, _, t, _ := s.Task(r)
-				m.runs[r] = began{run: run, at: now - ago(t.Since)}
+				m.runs[r] = began{run: run, on: id, at: now - ago(t.Since), resumed: t.Saved != ""}
 			}
 		}
 	}
@@ -235,9 +250,14 @@
 	}
 }
 
-// Learn takes in how long a run took that succeeded.
-func (m *Memory) Learn(queue bundle.QueueName, estimate, ran time.Duration) {
-	if estimate <= 0 || ran <= 0 {
+// Learn takes in how long a run took that succeeded; 0 if that is not known.
+func (m *Memory) Learn(j *workload.Job, r workload.TaskRef, ran time.Duration) {
+	queue, estimate := j.Queue, j.Steps[r.Step].Estimate
+	if ran <= 0 {
+		return
+	}
+	m.experienced(r, m.runs[r].on, ran)
+	if estimate <= 0 {
 		return
 	}
 	if m.factors == nil {
@@ -255,6 +275,9 @@
 
 // Duration returns how long a task of the step probably takes near its data.
 func (m *Memory) Duration(j *workload.Job, step int) time.Duration {
+	if usual, known := m.usual(j.ID, step); known {
+		return usual
+	}
 	estimate := j.Steps[step].Estimate
 	if f, known := m.factors[j.Queue]; known {
 		return time.Duration(float64(estimate) * f.mean)
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -120,7 +120,7 @@
 	if e.Job == nil || e.Run.How != workload.HowDone {
 		return
 	}
-	s.memory.Learn(e.Job.Queue, e.Job.Steps[e.Run.Task.Step].Estimate, e.Run.Ran)
+	s.memory.Learn(e.Job, e.Run.Task, e.Run.Ran)
 }
 
 // Start decides until the context ends.
--- a/internal/process/simulation/day.go
+++ b/internal/process/simulation/day.go
@@ -211,6 +211,6 @@
 		a.done, a.outcome = d.now-start, e.Ended.Outcome
 	}
 	if e.Job != nil && e.Run.How == workload.HowDone {
-		d.memory.Learn(e.Job.Queue, e.Job.Steps[e.Run.Task.Step].Estimate, e.Run.Ran)
+		d.memory.Learn(e.Job, e.Run.Task, e.Run.Ran)
 	}
 }
--- a/internal/process/simulation/runs.go
+++ b/internal/process/simulation/runs.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -154,7 +155,9 @@
 
 // project tells the policy what agents see of the progress of runs.
 func (d *day) project() {
-	for ref, r := range d.runs {
+	refs := slices.SortedFunc(maps.Keys(d.runs), workload.TaskRef.Compare)
+	for _, ref := range refs {
+		r := d.runs[ref]
 		if d.now-r.began < progressAfter || r.stopped {
 			continue
 		}
