internal/process/allocation: search victims worker by worker

Change: for each worker the cheapest victims that let one more member in; the cheapest worker is taken until all fit. No test asserts the time.

--- /dev/null
+++ b/internal/process/allocation/bench_test.go
@@ -0,0 +1,43 @@
+package allocation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"corianderpass/internal/process/allocation"
+)
+
+// busyField has all workers full of small runs of low rank and urgent gangs waiting.
+func busyField(t testing.TB, workers, urgent int) *field {
+	f := newField(t, workers, 8)
+	for i := range workers / 8 {
+		f.submit(fmt.Sprint("batch", i), 2, step(64, 1, 10*time.Second))
+	}
+	f.decide()
+	f.now += time.Second
+	for i := range urgent {
+		s := step(6, 1+i%8, 2*time.Second)
+		s.Gang = true
+		s.SameRack = i%2 == 0
+		f.submit(fmt.Sprint("urgent", i), 0, s)
+	}
+	return f
+}
+
+// One decision of a leader whose workers are full while urgent gangs wait.
+func BenchmarkDecideWithEvictions(b *testing.B) {
+	for _, workers := range []int{12, 64, 256} {
+		b.Run(fmt.Sprint(workers, " workers"), func(b *testing.B) {
+			f := busyField(b, workers, workers/4)
+			b.ReportAllocs()
+			for b.Loop() {
+				f.memory.Note(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
+				d := allocation.Decide(allocation.Input{State: f.state, Memory: &f.memory, Rules: allocation.Rules{FarFactor: 3}, Now: f.now, Bundle: f.bundle, Time: time.UnixMilli(f.now.Milliseconds())})
+				if len(d.Stops) == 0 {
+					b.Fatal("stops nobody")
+				}
+			}
+		})
+	}
+}
--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -15,7 +15,7 @@
 
 // field is a workload that is decided on step by step, without a log.
 type field struct {
-	t      *testing.T
+	t      testing.TB
 	state  *workload.State
 	memory allocation.Memory
 	now    time.Duration
@@ -26,7 +26,7 @@
 
 const leader incarnation.ID = "leader"
 
-func newField(t *testing.T, workers, accelerators int) *field {
+func newField(t testing.TB, workers, accelerators int) *field {
 	f := &field{t: t, state: workload.NewState(), now: time.Hour, ends: map[workload.LifeID]uint64{}, bundle: &bundle.Bundle{}}
 	f.must(workload.Record{Lead: &workload.Lead{Term: 1}})
 	for i := range workers {
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -18,11 +18,13 @@
 	run  workload.Run
 	// cost is the work in core-seconds that would be lost.
 	cost float64
-	// key is the same for all members of a gang.
-	key stepKey
-	one bool
+	// members are the tasks that end with it: itself, or its whole gang.
+	members []workload.TaskRef
 }
 
+// name is the same for all members of a gang.
+func (v victim) name() workload.TaskRef { return v.members[0] }
+
 // preempt stops the cheapest runs that make room for the unit and returns where,
 // nil if nothing of lower rank stands in its way.
 func (p *plan) preempt(u *unit) []site {
@@ -63,100 +65,19 @@
 	return [][]*host{p.hosts}
 }
 
-// eviction is a set of victims and the room that they leave.
-type eviction struct {
-	sites   []site
-	victims []victim
-	cost    float64
-}
-
-// evict finds victims on the hosts, cheap ones first.
-func (p *plan) evict(u *unit, hosts []*host) *eviction {
-	e := &eviction{}
-	chosen := map[stepKey]bool{}
-	rooms := map[*host]workload.Resources{}
-	for _, h := range hosts {
-		rooms[h] = h.soon
-	}
-	room := func(h *host) workload.Resources { return rooms[h] }
-	candidates := p.candidates(u, hosts)
-	for {
-		if sites := pack(u, hosts, room); sites != nil {
-			e.sites = sites
-			e.prune(u, p, rooms, hosts)
-			return e
-		}
-		if len(candidates) == 0 {
-			return nil
-		}
-		v := candidates[0]
-		candidates = candidates[1:]
-		if !v.one && chosen[v.key] {
-			continue
-		}
-		chosen[v.key] = true
-		e.victims = append(e.victims, v)
-		e.cost += v.cost
-		p.addRoom(v, rooms)
-	}
-}
-
-// addRoom adds what the end of a victim leaves on the hosts.
-func (p *plan) addRoom(v victim, rooms map[*host]workload.Resources) {
-	for h, room := range rooms {
-		for r := range h.worker.Runs {
-			if r == v.task || !v.one && (stepKey{r.Job, r.Occurrence, r.Step}) == v.key {
-				room = room.Plus(p.claim(r))
-			}
-		}
-		rooms[h] = room
-	}
-}
-
-// prune spares the victims that turned out not to be needed, dear ones first.
-func (e *eviction) prune(u *unit, p *plan, rooms map[*host]workload.Resources, hosts []*host) {
-	room := func(h *host) workload.Resources { return rooms[h] }
-	for i := len(e.victims) - 1; i >= 0; i-- {
-		without := map[*host]workload.Resources{}
-		for _, h := range hosts {
-			without[h] = h.soon
-		}
-		for k, v := range e.victims {
-			if k != i {
-				p.addRoom(v, without)
-			}
-		}
-		kept := rooms
-		rooms = without
-		sites := pack(u, hosts, room)
-		if sites == nil {
-			rooms = kept
-			continue
-		}
-		e.sites = sites
-		e.cost -= e.victims[i].cost
-		e.victims = slices.Delete(e.victims, i, i+1)
-	}
-}
-
-// candidates returns the runs on the hosts that must yield to the unit, those
-// that free the most for the least lost work first.
-func (p *plan) candidates(u *unit, hosts []*host) []victim {
+// candidates returns the runs on the host that must yield to the unit, those that
+// lose the least work first.
+func (p *plan) candidates(u *unit, h *host) []victim {
 	var found []victim
-	for _, h := range hosts {
-		if h.capacity(u, wholeRoom) == 0 {
+	for r, run := range h.worker.Runs {
+		j, _, t, known := p.State.Task(r)
+		if !known || t.Phase != workload.PhaseRunning || p.stopping[r] || p.tierOf(j) <= u.rank.tier {
 			continue
 		}
-		for r, run := range h.worker.Runs {
-			j, _, t, known := p.State.Task(r)
-			if !known || t.Phase != workload.PhaseRunning || p.stopping[r] || p.tierOf(j) <= u.rank.tier {
-				continue
-			}
-			if j.Priority == 0 && u.rank.tier != tierAssured {
-				continue
-			}
-			found = append(found, p.newVictim(j, r, run))
+		if j.Priority == 0 && u.rank.tier != tierAssured {
+			continue
 		}
+		found = append(found, p.newVictim(j, r, run))
 	}
 	slices.SortFunc(found, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), a.task.Compare(b.task))
@@ -170,14 +91,13 @@
 	if spec.Checkpointing {
 		lost = 0
 	}
-	members := 1
+	members := []workload.TaskRef{r}
 	if spec.Gang {
-		members = spec.Tasks
+		members = membersOf(j, r, &j.Occurrences[r.Occurrence].Steps[r.Step])
 	}
 	return victim{
-		task: r, run: run, one: !spec.Gang,
-		key:  stepKey{r.Job, r.Occurrence, r.Step},
-		cost: coreSeconds(spec.Need, lost+restartLoss) * float64(members),
+		task: r, run: run, members: members,
+		cost: coreSeconds(spec.Need, lost+restartLoss) * float64(len(members)),
 	}
 }
 
