internal/process/permit: run steps of restricted queues where an adviser allows

Cause: queues may demand a ticket for each start, which only a service outside gives out, per step and minion. Change: a register of permits on each entry. The leader asks for the most urgent step that waits, one question at a time, on up to 30 workers that could take it, those with room first; placements carry the permit; a permit is used until a second before its end; one that a minion refuses is forgotten; workers that may not are never asked for again. While only questions are open the leader shows itself, so that another entry takes over from one that is gone and nobody from one that waits. Tests: permit (own), three worlds in virtual time, one over HTTP. On a scratch copy each of five mechanisms taken out turned one red: margin, check of hosts, showing of the lead, take-over for questions, questions under way.

--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/workload"
 	"corianderpass/internal/version/bundle"
 )
@@ -29,12 +30,16 @@
 	Now time.Duration
 	// Time is the time of day, for due times only.
 	Time time.Time
+	// Permits are those that are known; nil if none is.
+	Permits Permits
 }
 
 // Decision is what should be proposed. Terms are left to the proposer.
 type Decision struct {
 	Places []workload.Place
 	Stops  []workload.Stop
+	// Wants are questions whose answers may let more be placed, the most urgent first.
+	Wants []permit.Want
 }
 
 // Empty tells whether there is nothing to propose.
@@ -46,7 +51,9 @@
 	p.evacuate()
 	p.migrate()
 	for _, u := range p.rankedUnits() {
-		p.serve(u)
+		if !p.serve(u) {
+			p.want(u)
+		}
 	}
 	return p.decision
 }
@@ -64,29 +71,30 @@
 	decision Decision
 }
 
-// serve places a unit, makes room for it, or lets it wait.
-func (p *plan) serve(u *unit) {
+// serve places a unit and returns true, or makes room for it, or lets it wait.
+func (p *plan) serve(u *unit) bool {
 	if sites := p.find(u, freeNow); sites != nil {
 		p.place(u, sites)
-		return
+		return true
 	}
 	if sites := p.find(u, freeSoon); sites != nil {
 		p.reserve(u, sites)
-		return
+		return false
 	}
 	if u.mayPreempt() {
 		if sites, wait := p.soonest(u); sites != nil && wait <= p.patience(u) {
 			p.reserve(u, sites)
-			return
+			return false
 		}
 		if sites := p.preempt(u); sites != nil {
 			p.reserve(u, sites)
-			return
+			return false
 		}
 	}
 	if u.rank.tier <= tierUrgent {
 		p.awaitRoom(u)
 	}
+	return false
 }
 
 // site is a number of members on one host.
@@ -109,7 +117,7 @@
 	next := 0
 	for _, s := range sites {
 		for range s.count {
-			order.Members = append(order.Members, workload.Member{Task: u.members[next], Worker: s.host.worker.Life})
+			order.Members = append(order.Members, workload.Member{Task: u.members[next], Worker: s.host.worker.Life, Permit: u.permits[s.host.worker.Life]})
 			next++
 		}
 		s.host.take(u, s.count)
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -25,12 +25,7 @@
 	// single hosts take one task as a test.
 	single bool
 	// placed counts what this round put here, by step.
-	placed map[stepKey]int
-}
-
-type stepKey struct {
-	job              workload.JobID
-	occurrence, step int
+	placed map[workload.StepRef]int
 }
 
 // rackKey names a rack of one service's workers.
@@ -72,7 +67,7 @@
 	if p.Memory.slow(w) || !open || single && len(w.Runs) > 0 {
 		return nil
 	}
-	h := &host{worker: w, free: w.Free(), single: single, placed: map[stepKey]int{}}
+	h := &host{worker: w, free: w.Free(), single: single, placed: map[workload.StepRef]int{}}
 	h.soon = h.free
 	for r := range w.Runs {
 		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
@@ -92,7 +87,7 @@
 	h.free = h.free.Minus(u.total(count))
 	h.soon = h.soon.Minus(u.total(count))
 	first := u.members[0]
-	h.placed[stepKey{first.Job, first.Occurrence, first.Step}] += count
+	h.placed[first.StepRef()] += count
 	if h.single {
 		h.free, h.soon = workload.Resources{}, workload.Resources{}
 	}
@@ -116,13 +111,13 @@
 
 // capacity returns how many members of the unit the host can take.
 func (h *host) capacity(u *unit, room horizon) int {
-	if !h.worker.Allows(u.job.Service, u.step) {
+	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) {
 		return 0
 	}
 	n := fits(u.step.Claim(), room(h), len(u.members))
 	if u.step.PerWorker > 0 {
 		first := u.members[0]
-		there := h.worker.CountOf(first.Job, first.Occurrence, first.Step) + h.placed[stepKey{first.Job, first.Occurrence, first.Step}]
+		there := h.worker.CountOf(first.Job, first.Occurrence, first.Step) + h.placed[first.StepRef()]
 		n = min(n, u.step.PerWorker-there)
 	}
 	if h.single {
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -20,6 +20,8 @@
 	rank rank
 	// duration is how long a run near its data probably takes.
 	duration time.Duration
+	// permits are the workers that may run it; nil if all may.
+	permits map[workload.LifeID]workload.Permit
 }
 
 // rank orders units; lower goes first in every field, in the order of the fields.
@@ -141,6 +143,7 @@
 		first:    members[0],
 	}
 	u.rank.late = objective > 0 && u.rank.slack < 0
+	p.findPermits(u)
 	return u
 }
 
--- a/internal/process/command/deployed_entry.go
+++ b/internal/process/command/deployed_entry.go
@@ -15,6 +15,7 @@
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/intake"
 	"corianderpass/internal/process/journal"
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
 	"corianderpass/internal/process/scheduler"
 	"corianderpass/internal/process/workload"
@@ -27,6 +28,7 @@
 	journal   *journal.Journal[workload.Record]
 	scheduler *scheduler.Scheduler
 	listener  *presence.Listener
+	permits   *permit.Register
 	watch     *adapter.BundleWatch
 	callers   *adapter.Callers
 	path      *relay.Path
@@ -43,13 +45,13 @@
 }
 
 func newDeployedEntry(s adapter.Settings, j *journal.Journal[workload.Record], state *workload.State, sch *scheduler.Scheduler,
-	l *presence.Listener, w *adapter.BundleWatch, c *adapter.Callers, set *metrics.Set, logger hclog.Logger, lead *leadership,
+	l *presence.Listener, permits *permit.Register, w *adapter.BundleWatch, c *adapter.Callers, set *metrics.Set, logger hclog.Logger, lead *leadership,
 	self incarnation.ID, path *relay.Path, pool *link.Pool, table link.Table, m *members,
 ) *deployedEntry {
 	lead.leads = sch.Leads
 	m.watch(j, state)
 	e := &deployedEntry{
-		settings: s, journal: j, scheduler: sch, listener: l, watch: w, callers: c, metrics: set, logger: logger,
+		settings: s, journal: j, scheduler: sch, listener: l, permits: permits, watch: w, callers: c, metrics: set, logger: logger,
 		path: path, pool: pool, table: table, state: state, self: self,
 	}
 	state.Observe(func(event workload.Event) {
@@ -97,7 +99,7 @@
 	}
 	server := link.NewServer(e.table)
 	defer e.pool.Close()
-	parts := []<-chan error{server.Serve(serving, links), e.path.Start(serving), e.join(serving), e.watch.Start(serving), e.journal.Start(serving), e.listener.Start(serving), e.scheduler.Start(serving)}
+	parts := []<-chan error{server.Serve(serving, links), e.path.Start(serving), e.join(serving), e.watch.Start(serving), e.journal.Start(serving), e.listener.Start(serving), e.permits.Start(serving), e.scheduler.Start(serving)}
 	e.logger.Info("entry started", "callers", e.settings.CallerAddress, "store", e.settings.StoreAddress)
 	select {
 	case <-ctx.Done():
--- a/internal/process/command/wire.go
+++ b/internal/process/command/wire.go
@@ -12,6 +12,7 @@
 	"corianderpass/internal/process/agent"
 	"corianderpass/internal/process/entry"
 	"corianderpass/internal/process/intake"
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
 	"corianderpass/internal/process/runner"
 	"corianderpass/internal/process/scheduler"
@@ -52,6 +53,7 @@
 		wire.Bind(new(platform.KeyedLog), new(*relay.KeyedLog)),
 		presence.NewListener, scheduler.New, intake.New, adapter.NewBundleWatch, adapter.NewCallers, newDeployedEntry,
 		wire.Bind(new(intake.Proof), new(*adapter.BundleWatch)),
+		permit.New, adapter.NewAdviser, wire.Bind(new(permit.Adviser), new(*adapter.Adviser)),
 	)
 	return nil
 }
--- a/internal/process/command/wire_gen.go
+++ b/internal/process/command/wire_gen.go
@@ -11,6 +11,7 @@
 	"corianderpass/internal/process/agent"
 	"corianderpass/internal/process/entry"
 	"corianderpass/internal/process/intake"
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
 	"corianderpass/internal/process/runner"
 	"corianderpass/internal/process/scheduler"
@@ -58,15 +59,17 @@
 	log := providePlainLog(store, path)
 	listener := presence.NewListener(log, clock)
 	register := &bundle.Register{}
+	adviser := platform.NewAdviser(s)
+	permitRegister := permit.New(adviser, clock, logger)
 	notify := provideNotify(pool)
-	schedulerScheduler := scheduler.New(settings, id, journal, state, listener, register, clock, logger, notify)
+	schedulerScheduler := scheduler.New(settings, id, journal, state, listener, register, permitRegister, clock, logger, notify)
 	bundleWatch := platform.NewBundleWatch(relayKeyedLog, register, clock, logger)
 	intakeSettings := provideIntakeSettings(s)
 	set := metrics.NewSet()
 	service := intake.New(intakeSettings, journal, state, register, bundleWatch, clock, logger, set)
 	callers := platform.NewCallers(service, logger, set)
 	table := provideRelayTable(store, keyedStore, path)
-	commandDeployedEntry := newDeployedEntry(s, journal, state, schedulerScheduler, listener, bundleWatch, callers, set, logger, commandLeadership, id, path, pool, table, commandMembers)
+	commandDeployedEntry := newDeployedEntry(s, journal, state, schedulerScheduler, listener, permitRegister, bundleWatch, callers, set, logger, commandLeadership, id, path, pool, table, commandMembers)
 	return commandDeployedEntry
 }
 
--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"corianderpass/internal/process/workload"
@@ -31,6 +32,8 @@
 	// Lease is when everything on the minion is killed unless it is prolonged.
 	Lease MinionClock
 	Token Token
+	// Permit is empty for queues that need none.
+	Permit workload.Permit
 }
 
 // Stop ends a run.
@@ -94,8 +97,8 @@
 	ReasonLate Reason = "Late"
 	// ReasonNoRoom orders did not fit.
 	ReasonNoRoom Reason = "NoRoom"
-	// ReasonTicket orders lacked a valid ticket.
-	ReasonTicket Reason = "Ticket"
+	// ReasonNoPermit orders lacked a valid permit.
+	ReasonNoPermit Reason = workload.RefusedForPermit
 	// ReasonInvalid orders were not understood.
 	ReasonInvalid Reason = "Invalid"
 	// ReasonUnhealthy minions take no orders.
@@ -129,3 +132,8 @@
 func LifeOf(id MinionID, born int64) workload.LifeID {
 	return workload.LifeID(fmt.Sprintf("%s/%d", id, born))
 }
+
+// MinionOf returns the minion of a life.
+func MinionOf(life workload.LifeID) MinionID {
+	return MinionID(life[:max(strings.LastIndex(string(life), "/"), 0)])
+}
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -164,6 +164,7 @@
 	x.phase = phaseStarting
 	order := Start{
 		ID: l.minion, Task: ref, Run: x.number, Payload: o.payload, Resume: o.resume, Lease: lease, Token: r.token(),
+		Permit: o.permit,
 	}
 	sent := r.clock()
 	r.aside(func(ctx context.Context) func() {
--- a/internal/process/runner/view.go
+++ b/internal/process/runner/view.go
@@ -28,6 +28,7 @@
 	wanted  bool
 	payload string
 	resume  workload.Checkpoint
+	permit  workload.Permit
 	// checkpointing tasks keep their progress.
 	checkpointing bool
 }
@@ -52,7 +53,7 @@
 			j, _, t, _ := r.state.Task(ref)
 			v.runs[ref] = ordered{
 				run: run, wanted: j.Open() && t.Phase == workload.PhaseRunning,
-				payload: j.Payload, resume: t.Saved, checkpointing: j.Steps[ref.Step].Checkpointing,
+				payload: j.Payload, resume: t.Saved, permit: t.Permit, checkpointing: j.Steps[ref.Step].Checkpointing,
 			}
 		}
 	})
--- a/internal/process/scheduler/decide.go
+++ b/internal/process/scheduler/decide.go
@@ -4,17 +4,20 @@
 	"time"
 
 	"corianderpass/internal/process/allocation"
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/workload"
 )
 
-// decide returns everything that is due in the present state. It is called under
+// decide returns everything that is due in the present state, and the questions
+// whose answers may make more due. It is called under
 // the journal's lock.
-func (s *Scheduler) decide(term workload.Term) []workload.Record {
+func (s *Scheduler) decide(term workload.Term) ([]workload.Record, []permit.Want) {
 	now := s.clock()
 	s.memory.Note(s.state, now, time.Now())
 	due := s.judgeWorkers(term, now)
 	in := allocation.Input{
 		State: s.state, Memory: &s.memory, Rules: s.settings.Allocation, Now: now, Time: time.Now(),
+		Permits: s.permits,
 	}
 	if current := s.bundles.Current(); current != nil {
 		in.Bundle = current.Bundle
@@ -28,7 +31,11 @@
 		d.Places[i].Term = term
 		due = append(due, workload.Record{Place: &d.Places[i]})
 	}
-	return append(due, s.forget(term, now)...)
+	s.permits.Retain(func(r workload.StepRef) bool {
+		j := s.state.Job(r.Job)
+		return j != nil && j.Open()
+	})
+	return append(due, s.forget(term, now)...), d.Wants
 }
 
 // judgeWorkers suspects the silent and writes off those whose leases have run out.
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"corianderpass/internal/process/allocation"
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/journal"
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
 	"corianderpass/internal/process/steady"
 	"corianderpass/internal/process/workload"
@@ -34,6 +35,9 @@
 	// leader proposes it; a leader needs some tens of milliseconds. A lead that is
 	// taken too soon costs one round of decisions.
 	patience = 350 * time.Millisecond
+	// questionPatience is how long a question to the adviser may be open before
+	// another entry asks; the leader shows itself three times as often.
+	questionPatience = 4 * time.Second
 	// patienceStep spreads the entries that wait to take the lead.
 	patienceStep = 120 * time.Millisecond
 	// proposeTimeout bounds the wait for the verdict on a proposal.
@@ -70,6 +74,7 @@
 	state    *workload.State
 	presence *presence.Listener
 	bundles  *bundle.Register
+	permits  *permit.Register
 	clock    steady.Clock
 	logger   hclog.Logger
 	notify   Notify
@@ -92,15 +97,17 @@
 	// nothing is.
 	overdueSince time.Duration
 	overdueLed   uint64
+	// shownAt is when this process recorded something as the leader.
+	shownAt time.Duration
 }
 
 // New returns a scheduler that does nothing before Start. It observes the state.
 func New(s Settings, self incarnation.ID, j *journal.Journal[workload.Record], state *workload.State,
-	listener *presence.Listener, bundles *bundle.Register, clock steady.Clock, logger hclog.Logger,
+	listener *presence.Listener, bundles *bundle.Register, permits *permit.Register, clock steady.Clock, logger hclog.Logger,
 	notify Notify,
 ) *Scheduler {
 	return &Scheduler{
-		settings: s, self: self, journal: j, state: state, presence: listener, bundles: bundles, clock: clock,
+		settings: s, self: self, journal: j, state: state, presence: listener, bundles: bundles, permits: permits, clock: clock,
 		logger: logger.Named("scheduler"), notify: notify,
 		suspected: map[workload.LifeID]time.Duration{}, present: map[workload.LifeID]bool{},
 		endedJobs: map[workload.JobID]time.Duration{}, endedLives: map[workload.LifeID]time.Duration{},
@@ -117,6 +124,9 @@
 		s.memory.Project(p.Task, p.Run, left, s.clock())
 		return
 	}
+	if r := e.Refused; r != nil && r.Reason == workload.RefusedForPermit {
+		s.permits.Drop(r.Task.StepRef(), r.Life)
+	}
 	if e.Job == nil || e.Run.How != workload.HowDone {
 		return
 	}
@@ -138,6 +148,7 @@
 			select {
 			case <-ctx.Done():
 			case <-ticker.C:
+			case <-s.permits.Changed():
 			case <-changed:
 				sleep(ctx, gatherTime)
 			}
@@ -163,21 +174,25 @@
 		return false
 	}
 	var due []workload.Record
+	var wants []permit.Want
 	var leader incarnation.ID
 	var term workload.Term
 	var led uint64
 	s.journal.Look(func(time.Time) {
 		leader, term = s.state.Leader()
 		led = s.state.Led()
-		due = s.decide(term)
+		due, wants = s.decide(term)
 	})
 	switch {
-	case len(due) == 0:
-		s.overdueSince = 0
 	case leader == s.self:
-		s.propose(ctx, due)
+		s.permits.Want(wants)
+		s.lead(ctx, term, due, wants)
+	case len(due) > 0:
+		s.takeLead(ctx, leader, term, led, patience)
+	case len(wants) > 0:
+		s.takeLead(ctx, leader, term, led, questionPatience)
 	default:
-		s.takeLead(ctx, leader, term, led)
+		s.overdueSince = 0
 	}
 	return leader == s.self
 }
@@ -205,8 +220,25 @@
 	s.logger.Info("give up the lead", "term", term, "error", err)
 }
 
+// lead proposes what is due. While only questions are open nothing is recorded that
+// would show the others that this process is there, so it says so.
+func (s *Scheduler) lead(ctx context.Context, term workload.Term, due []workload.Record, wants []permit.Want) {
+	s.overdueSince = 0
+	now := s.clock()
+	switch {
+	case len(due) > 0:
+		s.shownAt = now
+		s.propose(ctx, due)
+	case len(wants) > 0 && now-s.shownAt > questionPatience/3:
+		s.shownAt = now
+		if err := s.proposeOne(ctx, workload.Record{Lead: &workload.Lead{Term: term + 1}}); err != nil {
+			s.logger.Debug("leadership not shown", "term", term+1, "error", err)
+		}
+	}
+}
+
 // takeLead proposes a new leadership once the leader has let something lie.
-func (s *Scheduler) takeLead(ctx context.Context, leader incarnation.ID, term workload.Term, led uint64) {
+func (s *Scheduler) takeLead(ctx context.Context, leader incarnation.ID, term workload.Term, led uint64, patience time.Duration) {
 	now := s.clock()
 	wait := patience + time.Duration(s.settings.Rank)*patienceStep
 	if leader == "" {
--- a/internal/process/scheduler/world_test.go
+++ b/internal/process/scheduler/world_test.go
@@ -17,6 +17,7 @@
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/intake"
 	"corianderpass/internal/process/journal"
+	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
 	"corianderpass/internal/process/runner"
 	"corianderpass/internal/process/scheduler"
@@ -41,6 +42,7 @@
 	presence standin.Log
 	kept     standin.Kept
 	runs     standin.RunLog
+	adviser  testAdviser
 	began    time.Time
 	// mu guards what the minions ask for.
 	mu     sync.Mutex
@@ -144,6 +146,7 @@
 	intake  *intake.Service
 	journal *journal.Journal[workload.Record]
 	state   *workload.State
+	permits *permit.Register
 	leads   func() bool
 }
 
@@ -168,6 +171,7 @@
 	register.Adopt(1, testBundle())
 	listener := presence.NewListener(&w.presence, w.clock)
 	var sch *scheduler.Scheduler
+	e.permits = permit.New(&w.adviser, w.clock, testLogger(name))
 	e.journal = journal.New(e.log, "Workload", self, journal.Machine[workload.Record](e.state), journal.Options{
 		Clock: w.clock, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond,
 		MaySnapshot: func() bool { return sch.Leads() },
@@ -175,12 +179,12 @@
 	sch = scheduler.New(scheduler.Settings{
 		Allocation: allocation.Rules{FarFactor: 3}, SuspectAfter: 2500 * time.Millisecond,
 		LapseAfter: testLease + 500*time.Millisecond, Memory: time.Minute, Rank: len(w.entries),
-	}, self, e.journal, e.state, listener, register, w.clock, testLogger(name), w.notify)
+	}, self, e.journal, e.state, listener, register, e.permits, w.clock, testLogger(name), w.notify)
 	e.state.Observe(sch.Observe)
 	e.leads = sch.Leads
 	e.intake = intake.New(intake.Settings{TokenProof: 4 * time.Second, Refusal: 2 * time.Second},
 		e.journal, e.state, register, proof{w}, w.clock, hclog.NewNullLogger(), metrics.NewSet())
-	e.stop = w.run(e.journal.Start, listener.Start, sch.Start)
+	e.stop = w.run(e.journal.Start, listener.Start, e.permits.Start, sch.Start)
 	w.entries = append(w.entries, e)
 	return e
 }
@@ -211,6 +215,7 @@
 		Claim: func(r workload.TaskRef) workload.Resources { return w.claimOf(r.Job) },
 		Work:  func(workload.TaskRef, workload.Run) time.Duration { return w.duration() }, StopTime: 200 * time.Millisecond,
 		Broken: func(text string) { w.t.Errorf("at %v: %s", w.clock(), text) }, Runs: &w.runs,
+		Permitted: func(o runner.Start) bool { return w.adviser.permitted(a.minion, o) },
 	}
 	a.minion.Begin()
 	w.agents = append(w.agents, a)
--- a/internal/process/standin/taskminion.go
+++ b/internal/process/standin/taskminion.go
@@ -23,6 +23,8 @@
 	Work  func(workload.TaskRef, workload.Run) time.Duration
 	// Fails tells whether a run fails at its end; nil means never.
 	Fails func(runner.Start) bool
+	// Permitted tells whether a start has a valid permit; nil means that none is needed.
+	Permitted func(runner.Start) bool
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
 	// Broken is called for everything that must never happen.
@@ -204,6 +206,9 @@
 	if o.Run <= m.newest[o.Task] {
 		return &runner.RefusedError{Reason: runner.ReasonOutdated}
 	}
+	if m.Permitted != nil && !m.Permitted(o) {
+		return &runner.RefusedError{Reason: runner.ReasonNoPermit}
+	}
 	m.checkRoom(o.Task)
 	m.newest[o.Task] = o.Run
 	a := &activeRun{run: o.Run, began: time.Now(), ends: time.Now().Add(m.Work(o.Task, o.Run)), how: workload.HowDone}
--- a/internal/process/workload/job.go
+++ b/internal/process/workload/job.go
@@ -21,6 +21,22 @@
 // the beginning.
 type Checkpoint string
 
+// Permit is an adviser's opaque leave to run the tasks of a step on a worker; empty
+// means none.
+type Permit string
+
+// StepRef names one occurrence of a step.
+type StepRef struct {
+	Job              JobID
+	Occurrence, Step int
+}
+
+// String returns JOB.OCCURRENCE.STEP.
+func (r StepRef) String() string { return fmt.Sprintf("%s.%d.%d", r.Job, r.Occurrence, r.Step) }
+
+// StepRef returns the step of the task.
+func (r TaskRef) StepRef() StepRef { return StepRef{r.Job, r.Occurrence, r.Step} }
+
 // Resources is what a task needs or a worker has.
 type Resources struct {
 	Cores        platform.Millicores `json:",omitempty"`
@@ -112,6 +128,8 @@
 	FirstDue int64 `json:",omitempty"`
 	// Interval lies between two occurrences.
 	Interval time.Duration `json:",omitempty"`
+	// Permits are the rules of a queue whose steps may run on some workers only.
+	Permits bundle.PermitRules `json:",omitzero"`
 }
 
 // maxTasks bounds the tasks of one job over all steps and occurrences, so that
@@ -227,6 +245,8 @@
 	Since int64 `json:",omitempty"`
 	// Saved is the newest checkpoint.
 	Saved Checkpoint `json:",omitempty"`
+	// Permit goes with the start of the present run; empty if none is needed.
+	Permit Permit `json:",omitempty"`
 	// Moved counts the runs that were stopped because they made no progress.
 	Moved int `json:",omitempty"`
 }
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -115,6 +115,8 @@
 type Member struct {
 	Task   TaskRef
 	Worker LifeID
+	// Permit goes with the start where the queue needs one.
+	Permit Permit `json:",omitempty"`
 }
 
 // StopReason says why a run is stopped before its end.
@@ -181,6 +183,9 @@
 	Reason string
 }
 
+// RefusedForPermit is the reason of workers that did not accept the permit.
+const RefusedForPermit = "NoPermit"
+
 // Suspect forbids the agent of a worker to prolong leases, as nobody hears of it.
 type Suspect struct {
 	Term Term
--- a/internal/process/workload/runs.go
+++ b/internal/process/workload/runs.go
@@ -29,6 +29,7 @@
 	for _, m := range p.Members {
 		t := &step.Tasks[m.Task.Index]
 		t.Phase, t.Worker, t.Run, t.Since = PhaseRunning, m.Worker, p.Run, at.Time.UnixMilli()
+		t.Permit = m.Permit
 		s.workers[m.Worker].hold(m.Task, p.Run, claim)
 	}
 	j.Begun = true
@@ -284,5 +285,6 @@
 	if j.Steps[r.Task.Step].Gang && t.Phase != PhaseDone {
 		stopRunning(step.Tasks)
 	}
+	s.tell(Event{Refused: &r})
 	return nil
 }
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -43,6 +43,8 @@
 	// Progress is news of a run; its Run is 0 otherwise. It is only told, not kept:
 	// it ages within seconds.
 	Progress Progress
+	// Refused is an order that was not carried out, nil otherwise.
+	Refused *Refuse
 }
 
 // State is the whole workload. It implements journal.Machine; all methods must be
--- a/internal/version/bundle/queue.go
+++ b/internal/version/bundle/queue.go
@@ -27,8 +27,23 @@
 	TargetLatency Duration
 	// Public queues need no token.
 	Public bool
+	// Permits are the rules of a queue whose steps may run on some workers only.
+	Permits PermitRules
 }
 
+// PermitRules are those of a queue for whose steps an adviser says on which workers
+// they may run. The zero value means that they may run on all.
+type PermitRules struct {
+	// Decide and Each are how long an answer takes, in all and for each worker asked for.
+	Decide Duration `json:",omitempty"`
+	Each   Duration `json:",omitempty"`
+	// Valid is how long a permit holds; 0 means that none is needed.
+	Valid Duration `json:",omitempty"`
+}
+
+// Needed tells whether starts need a permit.
+func (r PermitRules) Needed() bool { return r.Valid > 0 }
+
 func (q Queue) check() error {
 	switch {
 	case q.Name == "":
@@ -37,6 +52,8 @@
 		return errors.Errorf("PathPrefix %q must begin and end with a slash", q.PathPrefix)
 	case q.Attempts < 1:
 		return errors.New("Attempts must be at least 1")
+	case q.Permits.Decide < 0 || q.Permits.Each < 0 || q.Permits.Valid < 0:
+		return errors.New("Permits must not be negative")
 	case q.Priority < 0 || q.Stretch < 0 || q.TargetLatency < 0:
 		return errors.New("Priority, Stretch and TargetLatency must not be negative")
 	}
