internal/process/runner: hold fillers back beside tasks that serve

Cause: fillers were never paced; on a deployment with them a serving task could be over its target for as long as they ran (a rule of the platform; the two sites play none). Change: each agent judges every look at a minion that both share. Over the target fillers keep 0.35 of their pace, twice leads to a pause; they are sped up by steps when all has been calm for a second, for ten seconds not beyond 0.7 of what was too much. Looks wait 0.4 s at most meanwhile. Fillers are placed where most is idle and not beside who serves; their progress says nothing of a worker's speed. Ruled out: pacing by the leader: the figures are a second old there, and calls from a minion's own machine are not priced.

--- a/internal/process/allocation/find.go
+++ b/internal/process/allocation/find.go
@@ -103,7 +103,7 @@
 			continue
 		}
 		total += n
-		options = append(options, option{site{h, n}, left(room(h), u.total(n), h.worker.Room)})
+		options = append(options, option{site{h, n}, u.cost(h, room(h), n)})
 	}
 	if total < len(u.members) {
 		return nil
@@ -130,6 +130,23 @@
 	return sites
 }
 
+// besideCost is how much emptiness, in whole workers, is as bad as a filler beside a
+// task that serves: the one is held back, the other disturbed.
+const besideCost = 1.0
+
+// cost tells how badly members of the unit would fit a host; lower is better.
+func (u *unit) cost(h *host, room workload.Resources, count int) float64 {
+	cost := left(room, u.total(count), h.worker.Room)
+	if u.step.Filler && h.worker.Room.Cores > 0 {
+		// Fillers live on what is idle, however full the worker is otherwise.
+		cost = -float64(h.idle) / float64(h.worker.Room.Cores)
+	}
+	if u.step.Filler && h.serves || u.step.TailTarget > 0 && h.fills {
+		cost += besideCost
+	}
+	return cost
+}
+
 // left returns the share of a worker that a placement leaves unused, over all
 // dimensions: the less is left, the less is split.
 func left(room, taken, whole workload.Resources) float64 {
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -24,6 +24,10 @@
 	soon workload.Resources
 	// single hosts take one task as a test.
 	single bool
+	// serves tells that a task that serves its own users runs here, fills that a
+	// filler does; idle are the cores that neither leave to one more filler.
+	serves, fills bool
+	idle          millicores
 	// placed counts what this round put here, by step.
 	placed map[workload.StepRef]int
 }
@@ -69,7 +73,10 @@
 	}
 	h := &host{worker: w, free: w.Free(), single: single, placed: map[workload.StepRef]int{}}
 	h.soon = h.free
+	h.idle = h.free.Cores
 	for r := range w.Runs {
+		step := p.State.Job(r.Job).Steps[r.Step]
+		h.note(step, 1)
 		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
 			h.soon = h.soon.Plus(p.claim(r))
 			p.stopping[r] = true
@@ -82,12 +89,23 @@
 	return p.State.Job(r.Job).Steps[r.Step].Claim()
 }
 
+// note counts tasks of a step that run here.
+func (h *host) note(step workload.StepSpec, count int) {
+	h.serves = h.serves || step.TailTarget > 0
+	if step.Filler {
+		h.fills = true
+		h.idle -= step.Need.Cores * millicores(count)
+	}
+}
+
 // take gives room to members of a unit.
 func (h *host) take(u *unit, count int) {
 	h.free = h.free.Minus(u.total(count))
 	h.soon = h.soon.Minus(u.total(count))
 	first := u.members[0]
 	h.placed[first.StepRef()] += count
+	h.idle -= u.total(count).Cores
+	h.note(u.step, count)
 	if h.single {
 		h.free, h.soon = workload.Resources{}, workload.Resources{}
 	}
--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -44,6 +44,10 @@
 	runs    map[workload.TaskRef]*run
 	// strayStops are when stops of strays were sent.
 	strayStops map[workload.TaskRef]time.Duration
+	// pacer judges sights, the last one at judgedAt; pace is what it says.
+	pacer    pacer
+	judgedAt time.Duration
+	pace     int
 	// savedReported are checkpoints that were reported, and when.
 	savedReported   map[workload.TaskRef]workload.Checkpoint
 	savedReportedAt time.Duration
@@ -140,6 +144,9 @@
 			l.leaseEnd = max(l.leaseEnd, until)
 		}
 	}
+	if v.shares() {
+		order.Wait = min(order.Wait, paceLook)
+	}
 	if l.hasUnrecordedEnds(v) || l.left {
 		order.Wait = 0
 	}
--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -44,6 +44,16 @@
 	Token Token
 }
 
+// Pace lets a run work at a part of what it could.
+type Pace struct {
+	ID   MinionID
+	Task workload.TaskRef
+	Run  workload.Run
+	// Percent is 100 for a run that is not held back.
+	Percent int
+	Token   Token
+}
+
 // Look asks what runs and what has ended, and may prolong the lease.
 type Look struct {
 	ID    MinionID
@@ -73,6 +83,8 @@
 	// Percent is how far a task has come, or how much of itself a long-running one
 	// may use.
 	Percent int
+	// Tail is the tail latency lately of a task that serves.
+	Tail time.Duration
 }
 
 // Minion is the way to the minion on the agent's machine. Implementations are safe
@@ -82,6 +94,7 @@
 	Start(ctx context.Context, order Start) error
 	Stop(ctx context.Context, order Stop) error
 	Look(ctx context.Context, order Look) (Sight, error)
+	Pace(ctx context.Context, order Pace) error
 }
 
 // Reason is why a minion refused an order.
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -39,6 +39,7 @@
 	}
 	r.recordEnds(l, v)
 	r.steer(l, v)
+	r.keepPace(l, v)
 }
 
 // freshWithin is how old the workload may be for anything to be done.
@@ -141,7 +142,7 @@
 		return
 	}
 	for _, x := range l.sight.Running {
-		l.runs[x.Task] = &run{number: x.Run, phase: phaseStarted, since: l.sightSent}
+		l.runs[x.Task] = &run{number: x.Run, phase: phaseStarted, since: l.sightSent, pace: unknownPace}
 	}
 	for _, e := range l.sight.Ended {
 		if o, ordered := v.runs[e.Task]; ordered && o.run == e.Run {
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -44,6 +44,12 @@
 	notBefore time.Duration
 	progress  progress
 	stopped   time.Duration
+	// pace is the percentage that the minion has for it, and paced when it was
+	// ordered last.
+	pace  int
+	paced time.Duration
+	// held runs are fillers: what they advance says nothing of the worker.
+	held bool
 }
 
 // steer makes the minion's runs follow the workload.
@@ -56,9 +62,10 @@
 	for ref, o := range v.runs {
 		x := l.runs[ref]
 		if x == nil {
-			x = &run{number: o.run}
+			x = &run{number: o.run, pace: wholePace}
 			l.runs[ref] = x
 		}
+		x.held = o.filler
 		r.settle(l, x, ref)
 		r.steerRun(l, v, ref, o, x)
 	}
--- a/internal/process/runner/view.go
+++ b/internal/process/runner/view.go
@@ -31,6 +31,10 @@
 	permit  workload.Permit
 	// checkpointing tasks keep their progress.
 	checkpointing bool
+	// filler tasks work with what others leave.
+	filler bool
+	// target bounds the tail latency of a task that serves; 0 for all others.
+	target time.Duration
 }
 
 // view reads the workload.
@@ -54,6 +58,7 @@
 			v.runs[ref] = ordered{
 				run: run, wanted: j.Open() && t.Phase == workload.PhaseRunning,
 				payload: j.Payload, resume: t.Saved, permit: t.Permit, checkpointing: j.Steps[ref.Step].Checkpointing,
+				filler: j.Steps[ref.Step].Filler, target: j.Steps[ref.Step].TailTarget,
 			}
 		}
 	})
--- a/internal/process/standin/taskminion.go
+++ b/internal/process/standin/taskminion.go
@@ -25,6 +25,11 @@
 	Fails func(runner.Start) bool
 	// Permitted tells whether a start has a valid permit; nil means that none is needed.
 	Permitted func(runner.Start) bool
+	// Tail returns the tail latency of a task that serves beside fillers of so many
+	// percent in all; nil means that nobody serves.
+	Tail func(ref workload.TaskRef, fillers int) time.Duration
+	// Fills tells whether a task is a filler; nil means that none is.
+	Fills func(workload.TaskRef) bool
 	// StopTime is how long a stop takes.
 	StopTime time.Duration
 	// Broken is called for everything that must never happen.
@@ -54,6 +59,7 @@
 	began time.Time
 	ends  time.Time
 	how   workload.How
+	pace  int
 }
 
 // ErrSilent is what callers see of a minion that does not answer.
@@ -211,7 +217,7 @@
 	}
 	m.checkRoom(o.Task)
 	m.newest[o.Task] = o.Run
-	a := &activeRun{run: o.Run, began: time.Now(), ends: time.Now().Add(m.Work(o.Task, o.Run)), how: workload.HowDone}
+	a := &activeRun{run: o.Run, began: time.Now(), ends: time.Now().Add(m.Work(o.Task, o.Run)), how: workload.HowDone, pace: 100}
 	if m.Fails != nil && m.Fails(o) {
 		a.how = workload.HowFailed
 	}
@@ -251,6 +257,43 @@
 	return nil
 }
 
+// Pace implements runner.Minion. A paced run still ends when it would have.
+func (m *TaskMinion) Pace(_ context.Context, o runner.Pace) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.dark {
+		return ErrSilent
+	}
+	m.settle()
+	if o.Token < m.token {
+		return &runner.RefusedError{Reason: runner.ReasonFenced}
+	}
+	m.token = o.Token
+	if a := m.active[o.Task]; a != nil && a.run == o.Run {
+		a.pace = o.Percent
+	}
+	return nil
+}
+
+// fillers returns the percentages of all fillers. The lock must be held.
+func (m *TaskMinion) fillers() int {
+	sum := 0
+	for ref, a := range m.active {
+		if m.Fills != nil && m.Fills(ref) {
+			sum += a.pace
+		}
+	}
+	return sum
+}
+
+// Fillers returns the percentages of all fillers that run now, added up.
+func (m *TaskMinion) Fillers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settle()
+	return m.fillers()
+}
+
 // Look implements runner.Minion.
 func (m *TaskMinion) Look(ctx context.Context, o runner.Look) (runner.Sight, error) {
 	deadline := time.Now().Add(o.Wait)
@@ -284,7 +327,11 @@
 	s := runner.Sight{Clock: m.clock(), Born: m.born.UnixMilli()}
 	for ref, a := range m.active {
 		done := float64(time.Since(a.began)) / float64(a.ends.Sub(a.began))
-		s.Running = append(s.Running, runner.Running{Task: ref, Run: a.run, Percent: int(100 * done)})
+		x := runner.Running{Task: ref, Run: a.run, Percent: int(100 * done)}
+		if m.Tail != nil {
+			x.Tail = m.Tail(ref, m.fillers())
+		}
+		s.Running = append(s.Running, x)
 	}
 	s.Ended = slices.Clone(m.ended)
 	return s, nil
