internal/process/allocation: let no more tasks of a service yield than it may miss

Cause: may_miss was not heeded; and urgent jobs waited for ever for long-running tasks, whose expected end was their start (found by the test: 0 stops where 2 were due). Change: tasks of such a step yield only while fewer are away, counting those that started less than 3 s ago; long-running tasks never end by themselves. Test: TestNoMoreTasksOfAServiceYieldThanItMayMiss; failed first in three ways.

--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -300,3 +300,50 @@
 		t.Errorf("expects %v of the others", d)
 	}
 }
+
+// The failure: an urgent gang takes the room of a service of which one task may be
+// away at a time.
+func TestNoMoreTasksOfAServiceYieldThanItMayMiss(t *testing.T) {
+	for _, c := range []struct{ mayMiss, stops int }{{0, 2}, {1, 0}, {2, 2}} {
+		f := newField(t, 2, 8)
+		service := step(2, 8, 0)
+		service.LongRunning, service.MayMiss = true, c.mayMiss
+		f.submit("service", 2, service)
+		f.decide()
+		f.memory.Note(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
+		f.now += 10 * time.Second
+		urgent := step(2, 8, time.Second)
+		urgent.Gang = true
+		f.submit("urgent", 0, urgent)
+		if d := f.decide(); len(d.Stops) != c.stops {
+			t.Errorf("%d tasks yield of a service that may miss %d, want %d", len(d.Stops), c.mayMiss, c.stops)
+		}
+	}
+}
+
+// The load: fillers and services on workers that are partly full. Fillers go where
+// most is idle, and not beside who serves.
+func TestFillersGoWhereMostIsIdle(t *testing.T) {
+	f := newField(t, 3, 8)
+	service := step(1, 1, 0)
+	service.LongRunning, service.TailTarget = true, 100*time.Millisecond
+	service.Need.Cores = 1000
+	f.submit("service", 0, service)
+	f.decide()
+	busy := step(1, 1, 30*time.Second)
+	busy.Need.Cores = 63500
+	f.submit("busy", 1, busy)
+	f.decide()
+	filler := step(2, 0, 30*time.Second)
+	filler.Filler, filler.Need.Cores, filler.Need.Accelerators = true, 20000, 0
+	f.submit("filler", 2, filler)
+	f.decide()
+	for _, w := range f.state.Workers() {
+		if n := w.CountOf("filler", 0, 0); n > 0 && len(w.Runs) != n {
+			t.Errorf("%d fillers run on %s beside others", n, w.Life)
+		}
+	}
+	if f.running("filler") != 2 {
+		t.Errorf("%d of 2 fillers run", f.running("filler"))
+	}
+}
--- a/internal/process/allocation/evict.go
+++ b/internal/process/allocation/evict.go
@@ -105,7 +105,7 @@
 	}
 	var taken []victim
 	for _, v := range s.candidates[h] {
-		if s.chosen[v.name()] || slices.ContainsFunc(taken, func(t victim) bool { return t.name() == v.name() }) {
+		if s.isSpared(v, taken) || s.chosen[v.name()] || slices.ContainsFunc(taken, func(t victim) bool { return t.name() == v.name() }) {
 			continue
 		}
 		taken = append(taken, v)
@@ -129,6 +129,20 @@
 	return o
 }
 
+// isSpared tells whether too many tasks of the victim's step would be away with it.
+func (s *search) isSpared(v victim, taken []victim) bool {
+	if v.spare < 0 {
+		return false
+	}
+	yield := 0
+	for _, other := range append(slices.Clone(s.found), taken...) {
+		if other.step == v.step {
+			yield++
+		}
+	}
+	return yield >= v.spare
+}
+
 // leaves returns what the end of a victim leaves on a host.
 func (s *search) leaves(v victim, h *host) workload.Resources {
 	var room workload.Resources
@@ -160,6 +174,10 @@
 	for _, h := range s.touched(v) {
 		s.setRoom(h, s.rooms[h].Plus(s.leaves(v, h)))
 	}
+	if v.spare >= 0 {
+		// Others of its step may no more yield elsewhere.
+		clear(s.offers)
+	}
 }
 
 // spare lets the victims go that turned out not to be needed: a gang that yields
--- a/internal/process/allocation/memory.go
+++ b/internal/process/allocation/memory.go
@@ -75,8 +75,14 @@
 	m.runs[r] = b
 }
 
+// forever is the time left of tasks that run until their job is cancelled.
+const forever = 1000 * time.Hour
+
 // Left returns how long the present run of a task will probably take from now on.
 func (m *Memory) Left(j *workload.Job, r workload.TaskRef, now time.Duration) time.Duration {
+	if j.Steps[r.Step].LongRunning {
+		return forever
+	}
 	b := m.runs[r]
 	if b.projected {
 		return max(b.ends-now, 0)
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -18,6 +18,10 @@
 	run  workload.Run
 	// cost is the work in core-seconds that would be lost.
 	cost float64
+	// step is the victim's, and spare how many more tasks of it may yield; a negative
+	// number means all.
+	step  workload.StepRef
+	spare int
 	// members are the tasks that end with it: itself, or its whole gang.
 	members []workload.TaskRef
 }
@@ -96,11 +100,31 @@
 		members = membersOf(j, r, &j.Occurrences[r.Occurrence].Steps[r.Step])
 	}
 	return victim{
-		task: r, run: run, members: members,
+		task: r, run: run, members: members, step: r.StepRef(), spare: p.spare(j, r),
 		cost: coreSeconds(spec.Need, lost+restartLoss) * float64(len(members)),
 	}
 }
 
+// atWorkAfter is how long a long-running task takes from its order until it is at work.
+const atWorkAfter = 3 * time.Second
+
+// spare returns how many tasks of the step may be ended by decisions of ours, beside
+// those that are away already; negative if all may.
+func (p *plan) spare(j *workload.Job, r workload.TaskRef) int {
+	spec := j.Steps[r.Step]
+	if !spec.LongRunning || spec.MayMiss == 0 {
+		return -1
+	}
+	away := 0
+	for k, t := range j.Occurrences[r.Occurrence].Steps[r.Step].Tasks {
+		ref := j.Ref(r.Occurrence, r.Step, k)
+		if t.Phase != workload.PhaseRunning || p.stopping[ref] || p.Memory.Ran(ref, p.Now) < atWorkAfter {
+			away++
+		}
+	}
+	return max(spec.MayMiss-away, 0)
+}
+
 // restartLoss is what every stop costs at least: the order, the end and a new start.
 const restartLoss = 300 * time.Millisecond
 
