internal/process/allocation: make the last attempt where no earlier one failed

One job's failures do not put a worker into quarantine. Ruled out: a job that cannot be done (its other members were well). Change: workers that failed a unit rank behind all others for it; its last attempt is not made there while another worker could ever take it. Tests: three; each of the three parts taken out on a scratch copy turned one red.

--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -347,3 +347,82 @@
 		t.Errorf("%d of 2 fillers run", f.running("filler"))
 	}
 }
+
+// The failure: a worker fails whatever it gets, at once, and then looks free (dpts-cutyard,
+// inc-c7f8).
+func TestWhatFailedRunsElsewhere(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		f := newField(t, 3, 8)
+		s := step(2, 4, time.Second)
+		s.Gang = gang
+		f.submit("job", 0, s)
+		ill := workload.LifeID("")
+		for attempt := range 3 {
+			f.decide()
+			for life, w := range f.state.Workers() {
+				if len(w.Runs) == 0 {
+					continue
+				}
+				if ill == "" {
+					ill = life
+				}
+				if life == ill && attempt > 0 {
+					t.Fatalf("gang %v: attempt %d is made on %s", gang, attempt, life)
+				}
+			}
+			f.endWhere(func(r workload.TaskRef, task *workload.Task) (workload.How, bool) {
+				if task.Worker == ill {
+					f.memory.Fail(f.state.Job("job"), r, ill)
+					return workload.HowFailed, true
+				}
+				return workload.HowBroken, gang
+			})
+		}
+	}
+}
+
+// The same while nothing else is free: the last attempt waits, others need not.
+func TestTheLastAttemptWaitsForAnotherWorker(t *testing.T) {
+	f := newField(t, 2, 8)
+	f.submit("job", 0, step(1, 8, time.Second))
+	f.decide()
+	f.submit("hog", 0, step(1, 8, time.Minute))
+	f.decide()
+	for attempt, want := range []int{1, 0} {
+		f.endWhere(func(r workload.TaskRef, task *workload.Task) (workload.How, bool) {
+			if r.Job != "job" {
+				return "", false
+			}
+			f.memory.Fail(f.state.Job("job"), r, task.Worker)
+			return workload.HowFailed, true
+		})
+		f.decide()
+		if n := f.running("job"); n != want {
+			t.Fatalf("%d runs after failure %d, want %d", n, attempt+1, want)
+		}
+	}
+	f.endWhere(func(r workload.TaskRef, _ *workload.Task) (workload.How, bool) {
+		return workload.HowDone, r.Job == "hog"
+	})
+	f.decide()
+	if f.running("job") != 1 {
+		t.Error("the last attempt is not made on the other worker")
+	}
+}
+
+// Where no other worker could ever take it, the last attempt is made all the same.
+func TestTheLastAttemptIsMadeWhereItCanBe(t *testing.T) {
+	f := newField(t, 1, 8)
+	f.submit("job", 0, step(1, 8, time.Second))
+	for range 2 {
+		f.decide()
+		f.endWhere(func(r workload.TaskRef, task *workload.Task) (workload.How, bool) {
+			f.memory.Fail(f.state.Job("job"), r, task.Worker)
+			return workload.HowFailed, true
+		})
+	}
+	f.decide()
+	if f.running("job") != 1 {
+		t.Error("the last attempt is not made on the only worker")
+	}
+}
--- a/internal/process/allocation/find.go
+++ b/internal/process/allocation/find.go
@@ -141,6 +141,9 @@
 		// Fillers live on what is idle, however full the worker is otherwise.
 		cost = -float64(h.idle) / float64(h.worker.Room.Cores)
 	}
+	if u.avoid[h.worker.Life] {
+		cost += avoidCost
+	}
 	if u.step.Filler && h.serves || u.step.TailTarget > 0 && h.fills {
 		cost += besideCost
 	}
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -129,7 +129,7 @@
 
 // capacity returns how many members of the unit the host can take.
 func (h *host) capacity(u *unit, room horizon) int {
-	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) {
+	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) || u.shuns && u.avoid[h.worker.Life] {
 		return 0
 	}
 	n := fits(u.step.Claim(), room(h), len(u.members))
--- a/internal/process/allocation/memory.go
+++ b/internal/process/allocation/memory.go
@@ -32,6 +32,8 @@
 	workers map[workload.LifeID]*workerMemory
 	factors map[bundle.QueueName]factor
 	steps   map[stepRef]*experience
+	// failures are the workers on which a task, or a gang, has failed.
+	failures map[workload.TaskRef]map[workload.LifeID]bool
 }
 
 // factor is the mean of how many times their estimate the tasks of a queue took.
@@ -213,6 +215,7 @@
 		}
 	}
 	m.forgetSteps(s)
+	m.forgetFailures(s)
 }
 
 func (m *Memory) noteRuns(s *workload.State, now time.Duration, ago func(int64) time.Duration) {
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -22,6 +22,9 @@
 	duration time.Duration
 	// permits are the workers that may run it; nil if all may.
 	permits map[workload.LifeID]workload.Permit
+	// avoid are the workers that failed it; a unit that shuns them does not go there.
+	avoid map[workload.LifeID]bool
+	shuns bool
 }
 
 // rank orders units; lower goes first in every field, in the order of the fields.
@@ -144,6 +147,7 @@
 	}
 	u.rank.late = objective > 0 && u.rank.slack < 0
 	p.findPermits(u)
+	p.findFailures(u)
 	return u
 }
 
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -127,6 +127,9 @@
 	if r := e.Refused; r != nil && r.Reason == workload.RefusedForPermit {
 		s.permits.Drop(r.Task.StepRef(), r.Life)
 	}
+	if e.Job != nil && e.Worker != nil && e.Run.How == workload.HowFailed {
+		s.memory.Fail(e.Job, e.Run.Task, e.Worker.Life)
+	}
 	if e.Job == nil || e.Run.How != workload.HowDone {
 		return
 	}
--- a/internal/process/simulation/day.go
+++ b/internal/process/simulation/day.go
@@ -210,6 +210,9 @@
 		a := d.arrivals[e.Ended.ID]
 		a.done, a.outcome = d.now-start, e.Ended.Outcome
 	}
+	if e.Job != nil && e.Worker != nil && e.Run.How == workload.HowFailed {
+		d.memory.Fail(e.Job, e.Run.Task, e.Worker.Life)
+	}
 	if e.Job != nil && e.Run.How == workload.HowDone {
 		d.memory.Learn(e.Job, e.Run.Task, e.Run.Ran)
 	}
