internal/process/allocation: weigh rough estimates against what is usual

Change: a queue's durations, the estimates given in it and how far they miss are learned as logarithms, one sample a step; an estimate and what is usual are weighed by their spreads. Before anything has ended, the queue's estimates stand in for what is usual. Test: TestRoughEstimatesGiveWayToWhatIsUsual (by construction the old mean of factors fails it; not run against it).

--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -426,3 +428,26 @@
 		t.Error("the last attempt is not made on the only worker")
 	}
 }
+
+// The load: queues whose estimates are rough, by a factor of three either way, while
+// their tasks resemble each other. What is usual in the queue tells more.
+func TestRoughEstimatesGiveWayToWhatIsUsual(t *testing.T) {
+	f := newField(t, 4, 8)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 12 {
+		id := fmt.Sprint("job", i)
+		estimate := time.Duration(float64(3*time.Second) * math.Exp(random.NormFloat64()))
+		f.submit(id, 2, step(1, 8, estimate))
+		f.decide()
+		f.endWhere(func(r workload.TaskRef, _ *workload.Task) (workload.How, bool) {
+			f.memory.Learn(f.state.Job(r.Job), r, 2500*time.Millisecond+time.Duration(random.IntN(1000))*time.Millisecond)
+			return workload.HowDone, true
+		})
+	}
+	for _, estimate := range []time.Duration{500 * time.Millisecond, 15 * time.Second} {
+		j := &workload.Job{JobSpec: workload.JobSpec{Queue: "queue2", Steps: []workload.StepSpec{{Tasks: 1, Estimate: estimate}}}}
+		if d := f.memory.Duration(j, 0); d < 1500*time.Millisecond || d > 6*time.Second {
+			t.Errorf("expects %v of a task of about 3 s that is estimated at %v", d, estimate)
+		}
+	}
+}
--- a/internal/process/allocation/experience.go
+++ b/internal/process/allocation/experience.go
@@ -24,13 +24,12 @@
 	totals map[workload.LifeID]time.Duration
 	// median is 0 when it must be computed anew.
 	median time.Duration
+	// learned steps have counted for their queue.
+	learned bool
 }
 
 // experienced notes a duration of a task of the step on a worker.
-func (m *Memory) experienced(r workload.TaskRef, on workload.LifeID, total time.Duration) {
-	if total <= 0 {
-		return
-	}
+func (m *Memory) experienced(r workload.TaskRef, on workload.LifeID, total time.Duration) *experience {
 	if m.steps == nil {
 		m.steps = map[stepRef]*experience{}
 	}
@@ -41,6 +40,7 @@
 		m.steps[key] = e
 	}
 	e.totals[on], e.median = total, 0
+	return e
 }
 
 // usual returns the median duration of the step's runs over the workers, false if
--- a/internal/process/allocation/memory.go
+++ b/internal/process/allocation/memory.go
@@ -9,13 +9,6 @@
 )
 
 const (
-	// learnWeight is the least weight of a new duration in the running mean of its
-	// queue: the mean follows a change within some ten tasks.
-	learnWeight = 0.1
-	// factorMost bounds what one run counts for, as a slow worker's tell little.
-	factorMost = 4
-	// priorRuns is the number of runs that the estimate itself counts for.
-	priorRuns = 3
 	// quarantineStreak is the number of different jobs that fail in a row on a
 	// worker before it is kept from more.
 	quarantineStreak = 2
@@ -30,18 +23,12 @@
 	jobs    map[workload.JobID]time.Duration
 	runs    map[workload.TaskRef]began
 	workers map[workload.LifeID]*workerMemory
-	factors map[bundle.QueueName]factor
+	habits  map[bundle.QueueName]*habit
 	steps   map[stepRef]*experience
 	// failures are the workers on which a task, or a gang, has failed.
 	failures map[workload.TaskRef]map[workload.LifeID]bool
 }
 
-// factor is the mean of how many times their estimate the tasks of a queue took.
-type factor struct {
-	mean float64
-	runs int
-}
-
 // began is what was observed of a run.
 type began struct {
 	run workload.Run
@@ -70,7 +57,7 @@
 	b.projected = !b.stalled
 	if b.projected {
 		b.ends = now + left
-		if !b.resumed {
+		if !b.resumed && b.ends > b.at {
 			m.experienced(r, b.on, b.ends-b.at)
 		}
 	}
@@ -195,7 +182,7 @@
 		m.jobs = map[workload.JobID]time.Duration{}
 		m.runs = map[workload.TaskRef]began{}
 		m.workers = map[workload.LifeID]*workerMemory{}
-		m.factors = map[bundle.QueueName]factor{}
+		m.habits = map[bundle.QueueName]*habit{}
 	}
 	m.noteJobs(s, now, ago)
 	m.noteRuns(s, now, ago)
@@ -207,6 +194,7 @@
 	for id, j := range s.Open() {
 		if _, known := m.jobs[id]; !known {
 			m.jobs[id] = now - ago(j.Submitted)
+			m.noteEstimates(j)
 		}
 	}
 	for id := range m.jobs {
@@ -259,27 +247,26 @@
 	}
 }
 
-// Learn takes in how long a run took that succeeded; 0 if that is not known.
+// Learn takes in how long a run took that succeeded; 0 if that is not known. Of the
+// tasks of a step, which resemble each other, one counts for the queue.
 func (m *Memory) Learn(j *workload.Job, r workload.TaskRef, ran time.Duration) {
-	queue, estimate := j.Queue, j.Steps[r.Step].Estimate
 	if ran <= 0 {
 		return
 	}
-	m.experienced(r, m.runs[r].on, ran)
-	if estimate <= 0 {
+	e := m.experienced(r, m.runs[r].on, ran)
+	if e.learned {
 		return
 	}
-	if m.factors == nil {
-		m.factors = map[bundle.QueueName]factor{}
+	e.learned = true
+	if m.habits == nil {
+		m.habits = map[bundle.QueueName]*habit{}
 	}
-	f, known := m.factors[queue]
-	if !known {
-		f = factor{mean: 1, runs: priorRuns}
+	h := m.habits[j.Queue]
+	if h == nil {
+		h = &habit{}
+		m.habits[j.Queue] = h
 	}
-	f.runs++
-	seen := min(float64(ran)/float64(estimate), factorMost)
-	f.mean += max(1/float64(f.runs), learnWeight) * (seen - f.mean)
-	m.factors[queue] = f
+	h.learn(j.Steps[r.Step].Estimate, ran)
 }
 
 // Duration returns how long a task of the step probably takes near its data.
@@ -287,11 +274,7 @@
 	if usual, known := m.usual(j.ID, step); known {
 		return usual
 	}
-	estimate := j.Steps[step].Estimate
-	if f, known := m.factors[j.Queue]; known {
-		return time.Duration(float64(estimate) * f.mean)
-	}
-	return estimate
+	return m.habits[j.Queue].expect(j.Steps[step].Estimate)
 }
 
 // Age returns how long the job has been seen.
