--- a/internal/process/presence/presence_test.go
+++ b/internal/process/presence/presence_test.go
@@ -76,3 +76,19 @@
 		}
 	})
 }
+
+// The same for an outage that is over before it is noticed by its length.
+func TestAShortOutageMakesNobodySilent(t *testing.T) {
+	listening(t, func(t *testing.T, log *standin.Log, l *presence.Listener) {
+		time.Sleep(2 * time.Second)
+		send(t, log, "life")
+		time.Sleep(500 * time.Millisecond)
+		log.SetFaults(standin.LogFaults{Down: true})
+		time.Sleep(1200 * time.Millisecond)
+		log.SetFaults(standin.LogFaults{})
+		time.Sleep(800 * time.Millisecond)
+		if s := l.Silence("life"); s > time.Second {
+			t.Errorf("silent for %v after an outage of 1.2 s", s)
+		}
+	})
+}
