--- a/internal/process/presence/presence_test.go
+++ b/internal/process/presence/presence_test.go
@@ -84,11 +84,11 @@
 		send(t, log, "life")
 		time.Sleep(500 * time.Millisecond)
 		log.SetFaults(standin.LogFaults{Down: true})
-		time.Sleep(1200 * time.Millisecond)
-		log.SetFaults(standin.LogFaults{})
 		time.Sleep(800 * time.Millisecond)
+		log.SetFaults(standin.LogFaults{})
+		time.Sleep(500 * time.Millisecond)
 		if s := l.Silence("life"); s > time.Second {
-			t.Errorf("silent for %v after an outage of 1.2 s", s)
+			t.Errorf("silent for %v after an outage of 0.8 s", s)
 		}
 	})
 }
