internal/process/scheduler: patience by how slow the log is

Found with it: the stand-in's keyed log delayed each append three times under one lock, so that a slow log took no appends at all (the first form of the test hung in virtual time for 60 s); it now delays once. Ruled out: a longer patience for all (a dead leader would be noticed late every time). Change: the listener of presences measures its reads, which never wait; others take the lead only after five calls' time. Test: calls of 150 to 600 ms tried, 400 ms kept: at most one change; failed first with 16.

--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -61,6 +61,7 @@
 	steadySince time.Duration
 	lastRead    time.Duration
 	listening   bool
+	latency     time.Duration
 }
 
 // NewListener returns a listener that has heard of nobody.
@@ -97,7 +98,9 @@
 		}
 		next = span.Next
 	}
+	sent := l.clock()
 	records, err := l.log.Read(ctx, Stream, next, readLimit, 0)
+	l.noteLatency(l.clock() - sent)
 	if err != nil {
 		l.lost()
 		if errors.Is(err, platform.ErrTrimmed) {
@@ -112,6 +115,20 @@
 	return next
 }
 
+// noteLatency follows a log that grows slow at once, and one that recovers by halves.
+func (l *Listener) noteLatency(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.latency = max(d, (l.latency+d)/2)
+}
+
+// Latency returns how long a call to the log takes at present.
+func (l *Listener) Latency() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latency
+}
+
 // lost notes that nothing can be heard.
 func (l *Listener) lost() {
 	l.mu.Lock()
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -38,6 +38,10 @@
 	// questionPatience is how long a question to the adviser may be open before
 	// another entry asks; the leader shows itself three times as often.
 	questionPatience = 4 * time.Second
+	// patienceCalls is how many calls to the log a decision may lie at least: the leader
+	// reads what is new, appends, and reads it back, and this entry reads it in turn;
+	// one more for calls that wait for each other.
+	patienceCalls = 5
 	// patienceStep spreads the entries that wait to take the lead.
 	patienceStep = 120 * time.Millisecond
 	// proposeTimeout bounds the wait for the verdict on a proposal.
@@ -243,7 +247,7 @@
 // takeLead proposes a new leadership once the leader has let something lie.
 func (s *Scheduler) takeLead(ctx context.Context, leader incarnation.ID, term workload.Term, led uint64, patience time.Duration) {
 	now := s.clock()
-	wait := patience + time.Duration(s.settings.Rank)*patienceStep
+	wait := max(patience, patienceCalls*s.presence.Latency()) + time.Duration(s.settings.Rank)*patienceStep
 	if leader == "" {
 		wait = time.Duration(s.settings.Rank) * patienceStep
 	}
--- a/internal/process/scheduler/world_runs_test.go
+++ b/internal/process/scheduler/world_runs_test.go
@@ -336,3 +336,47 @@
 		})
 	})
 }
+
+// The failure: every call to the log takes a quarter of a second (dpts-cutyard,
+// inc-1d70). Decisions lie as long as that takes, and entries must not take the lead
+// from each other for it.
+func TestASlowLogDoesNotMakeTheLeadWander(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		for range 3 {
+			w.addEntry()
+		}
+		w.addWorker(room())
+		w.addWorker(room())
+		time.Sleep(4 * time.Second)
+		w.takesAlways(time.Second)
+		w.submit(spec("first", 1, small()))
+		w.await("first", workload.OutcomeCompleted, 4*time.Second)
+		before := w.term()
+		slow := standin.LogFaults{Delay: 400 * time.Millisecond}
+		w.log.SetFaults(slow)
+		w.presence.SetFaults(slow)
+		for i := range 20 {
+			s := spec(fmt.Sprint("job", i), 2, small())
+			w.claim(s)
+			if err := w.entries[i%3].intake.Submit(t.Context(), s); err != nil {
+				t.Errorf("submit %s: %v", s.ID, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		if changes := w.term() - before; changes > 1 {
+			t.Errorf("the lead changed %d times while the log is slow", changes)
+		}
+		for i := range 20 {
+			w.await(fmt.Sprint("job", i), workload.OutcomeCompleted, 10*time.Second)
+		}
+	})
+}
+
+// term returns the present term as the first entry knows it.
+func (w *world) term() (term workload.Term) {
+	e := w.entries[0]
+	e.journal.Look(func(time.Time) { _, term = e.state.Leader() })
+	return term
+}
--- a/internal/process/standin/keyed.go
+++ b/internal/process/standin/keyed.go
@@ -108,17 +108,15 @@
 }
 
 func (k *KeyedLog) append(ctx context.Context, stream platform.Stream, key platform.Key, payload []byte) (platform.Offset, error) {
-	k.Kept.lock()
-	defer k.Kept.mu.Unlock()
-	before, err := k.Log.Span(ctx, stream)
-	if err != nil {
+	if err := k.Log.enter(ctx); err != nil {
 		return 0, err
 	}
-	offset, err := k.Log.Append(ctx, stream, frame(key, payload))
-	after, spanErr := k.Log.Span(ctx, stream)
-	if spanErr == nil && after.Next > before.Next {
+	k.Kept.lock()
+	defer k.Kept.mu.Unlock()
+	offset, stored, err := k.Log.store(stream, frame(key, payload))
+	if stored {
 		// Kept also if the answer is lost.
-		k.Kept.keep(stream, platform.LogRecord{Offset: after.Next - 1, Key: key, Payload: slices.Clone(payload)})
+		k.Kept.keep(stream, platform.LogRecord{Offset: offset, Key: key, Payload: slices.Clone(payload)})
 	}
 	return offset, err
 }
--- a/internal/process/standin/log.go
+++ b/internal/process/standin/log.go
@@ -107,19 +107,26 @@
 	if err := l.enter(ctx); err != nil {
 		return 0, err
 	}
+	offset, _, err := l.store(name, payload)
+	return offset, err
+}
+
+// store adds a record and returns its offset, and whether it is there, which it may be
+// without an answer.
+func (l *Log) store(name platform.Stream, payload []byte) (platform.Offset, bool, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.take() {
-		return 0, platform.ErrThrottled
+		return 0, false, platform.ErrThrottled
 	}
 	if l.strikes(l.faults.LoseAppends) {
-		return 0, platform.ErrAnswerLost
+		return 0, false, platform.ErrAnswerLost
 	}
 	offset := l.add(name, payload)
 	if l.strikes(l.faults.LoseAnswers) {
-		return 0, platform.ErrAnswerLost
+		return offset, true, platform.ErrAnswerLost
 	}
-	return offset, nil
+	return offset, true, nil
 }
 
 // add stores the record. The lock must be held.
