--- a/internal/process/permit/permit_test.go
+++ b/internal/process/permit/permit_test.go
@@ -34,7 +34,7 @@
 	good := map[workload.LifeID]workload.Permit{}
 	for _, w := range workers {
 		if w == a.good {
-			good[w] = "ticket"
+			good[w] = "leave"
 		}
 	}
 	return good, nil
@@ -60,8 +60,8 @@
 		}
 		r.Want([]permit.Want{want})
 		<-r.Changed()
-		if ticket, in := r.Of(step, "good"); !in || ticket != "ticket" {
-			t.Errorf("good has %q, %v", ticket, in)
+		if leave, in := r.Of(step, "good"); !in || leave != "leave" {
+			t.Errorf("good has %q, %v", leave, in)
 		}
 		if _, in := r.Of(step, "bad"); in || !r.Asked(step, "bad") || r.Asked(step, "other") {
 			t.Error("bad has a permit or was not asked for, or other was")
--- a/internal/process/runner/progress.go
+++ b/internal/process/runner/progress.go
@@ -66,7 +66,7 @@
 	var news []workload.Progress
 	for ref, x := range l.runs {
 		p := &x.progress
-		if x.phase != phaseStarted || !p.seen || p.lastPercent >= wholeTask || x.held {
+		if x.phase != phaseStarted || !p.seen || p.lastPercent >= wholeTask || x.filler {
 			continue
 		}
 		if n, isNews := p.news(now); isNews {
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -48,8 +48,8 @@
 	// ordered last.
 	pace  int
 	paced time.Duration
-	// held runs are fillers: what they advance says nothing of the worker.
-	held bool
+	// filler runs work with what others leave: what they advance says nothing of the worker.
+	filler bool
 }
 
 // steer makes the minion's runs follow the workload.
@@ -65,7 +65,7 @@
 			x = &run{number: o.run, pace: wholePace}
 			l.runs[ref] = x
 		}
-		x.held = o.filler
+		x.filler = o.filler
 		r.settle(l, x, ref)
 		r.steerRun(l, v, ref, o, x)
 	}
--- a/internal/process/standin/taskminion.go
+++ b/internal/process/standin/taskminion.go
@@ -51,7 +51,6 @@
 	endedAt map[uint64]time.Time
 	// lapsed is when the lease ran out last.
 	lapsed time.Time
-	grown  chan struct{}
 }
 
 type activeRun struct {
@@ -76,7 +75,6 @@
 	m.newest = map[workload.TaskRef]workload.Run{}
 	m.ended, m.endedAt = nil, map[uint64]time.Time{}
 	m.lapsed = time.Time{}
-	m.grown = make(chan struct{})
 	m.dark = false
 }
 
