--- a/internal/process/standin/taskminion.go
+++ b/internal/process/standin/taskminion.go
@@ -235,18 +235,26 @@
 	}
 }
 
-// Stop implements runner.Minion.
-func (m *TaskMinion) Stop(_ context.Context, o runner.Stop) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// admit tells whether an order of the token may be carried out. The lock must be held.
+func (m *TaskMinion) admit(token runner.Token) error {
 	if m.dark {
 		return ErrSilent
 	}
 	m.settle()
-	if o.Token < m.token {
+	if token < m.token {
 		return &runner.RefusedError{Reason: runner.ReasonFenced}
 	}
-	m.token = o.Token
+	m.token = token
+	return nil
+}
+
+// Stop implements runner.Minion.
+func (m *TaskMinion) Stop(_ context.Context, o runner.Stop) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.admit(o.Token); err != nil {
+		return err
+	}
 	m.newest[o.Task] = max(m.newest[o.Task], o.Run)
 	if a := m.active[o.Task]; a != nil && a.run == o.Run && a.how != workload.HowStopped {
 		a.ends, a.how = time.Now().Add(m.StopTime), workload.HowStopped
@@ -259,14 +267,9 @@
 func (m *TaskMinion) Pace(_ context.Context, o runner.Pace) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.dark {
-		return ErrSilent
+	if err := m.admit(o.Token); err != nil {
+		return err
 	}
-	m.settle()
-	if o.Token < m.token {
-		return &runner.RefusedError{Reason: runner.ReasonFenced}
-	}
-	m.token = o.Token
 	if a := m.active[o.Task]; a != nil && a.run == o.Run {
 		a.pace = o.Percent
 	}
