--- a/internal/process/standin/taskminion.go
+++ b/internal/process/standin/taskminion.go
@@ -437,10 +437,10 @@
 	return l.starts
 }
 
-// Seen returns how often a task has started, ended done, and runs now.
-func (l *RunLog) Seen(ref workload.TaskRef) (starts, done, running int) {
+// Seen returns how often a task has started and ended done.
+func (l *RunLog) Seen(ref workload.TaskRef) (starts, done int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.get(ref)
-	return t.starts, len(t.done), t.running
+	return t.starts, len(t.done)
 }
