--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -90,6 +90,17 @@
 	return d
 }
 
+// projectAll lets a second pass, after which every run seems to need the rest.
+func (f *field) projectAll(rest time.Duration) {
+	f.memory.Note(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
+	f.now += time.Second
+	for _, w := range f.state.Workers() {
+		for r, run := range w.Runs {
+			f.memory.Project(r, run, rest, f.now)
+		}
+	}
+}
+
 // stopAll ends every run that is to stop.
 func (f *field) stopAll() {
 	f.endWhere(func(_ workload.TaskRef, t *workload.Task) (workload.How, bool) {
@@ -213,13 +224,7 @@
 	f := newField(t, 2, 8)
 	f.submit("batch", 2, step(4, 1, 4*time.Second))
 	f.decide()
-	f.memory.Note(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
-	f.now += time.Second
-	for _, w := range f.state.Workers() {
-		for r, run := range w.Runs {
-			f.memory.Project(r, run, 7*time.Second, f.now)
-		}
-	}
+	f.projectAll(7 * time.Second)
 	if d := f.decide(); len(d.Stops) != 0 {
 		t.Fatalf("stops %d runs", len(d.Stops))
 	}
@@ -288,13 +293,7 @@
 	f := newField(t, 6, 8)
 	f.submit("batch", 2, step(32, 1, time.Second))
 	f.decide()
-	f.memory.Note(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
-	f.now += time.Second
-	for _, w := range f.state.Workers() {
-		for r, run := range w.Runs {
-			f.memory.Project(r, run, 9*time.Second, f.now)
-		}
-	}
+	f.projectAll(9 * time.Second)
 	if d := f.decide(); len(d.Stops) != 0 {
 		t.Fatalf("stops %d runs of ten seconds that were estimated at one", len(d.Stops))
 	}
