--- a/internal/process/experiment/run.go
+++ b/internal/process/experiment/run.go
@@ -12,7 +12,8 @@
 	"corianderpass/pkg/platform"
 )
 
-// Policy decides on placements; see placement.Policy.
+// Policy is what the experiment compares: placement.Policy and placement.Naive, its
+// twin without any of its ideas.
 type Policy interface {
 	Decide(s *ledger.State, now time.Time, skip placement.Skip) placement.Decision
 }
