internal/process/gang: report the end of an old gang within a minute

Ruled out: a wider bound; the target is a minute. Change: the longest interval leaves 3 s for the tick, the call (at most 2 s) and the record.

--- a/internal/process/gang/renewer.go
+++ b/internal/process/gang/renewer.go
@@ -25,14 +25,21 @@
 	renewalsPerLease = 3
 	// renewAgeFraction is the time between two renewals as a fraction of the gang's age.
 	// Renewals also report the end of tasks, so the end of a gang is noticed with a
-	// delay of less than this fraction of its age.
+	// delay of about this fraction of its age, and of maxEndDelay at most.
 	renewAgeFraction = 1.0 / 60
 	// maxRenewalsPerSecond bounds the renewal calls that one process makes in a second.
 	maxRenewalsPerSecond = 40
 	// minRenewInterval and maxRenewInterval bound the time between two renewals of a
-	// worker.
+	// worker. The end of a gang must be known within maxEndDelay, so the longest interval
+	// leaves time for the tick that is due next, the renewal call and the record of the end.
 	minRenewInterval = 500 * time.Millisecond
-	maxRenewInterval = time.Minute
+	maxRenewInterval = maxEndDelay - endRecordTime
+	// maxEndDelay is the longest time from the end of a gang until its record.
+	maxEndDelay = time.Minute
+	// endRecordTime is the time from when a renewal is due until the end that it
+	// reports is recorded: a tick of the scheduler, at most renewTimeout for the call, and
+	// an append.
+	endRecordTime = renewTimeout + time.Second
 	// renewTimeout is the timeout of one renewal call.
 	renewTimeout = 2 * time.Second
 )
