internal/process/workload: record the ends that a new life lists with its announcement

The run ends before the agent has looked. The announcement gave up all runs of the earlier life, the leader placed the task again, and only then was the end recorded, which was ignored by then. Ruled out: a second record after the announcement, since another writer's record can come between the two. Change: Announce carries the ends that the life lists; they count before the other lives on the machine end, as if the life that the run was placed on had reported them, so that failures count too.

--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -120,13 +120,14 @@
 	r.resetRuns(l, v)
 	l.announcePending = true
 	a := l.announcement
+	ends := len(l.status.Ended)
 	r.propose(workload.Record{Announce: &workload.Announce{
 		Life: l.id, Machine: a.Machine, Agent: r.self, Address: r.settings.Address, Service: a.Service, FailureDomain: r.settings.FailureDomain,
-		Rack: a.Rack, Labels: a.Labels, Room: a.Room,
+		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended,
 	}}, func(err error) {
 		l.announcePending = false
 		l.announced = err == nil
-		r.logger.Info("announce worker", "worker", l.id, "machine", a.Machine, "rack", a.Rack, "error", err)
+		r.logger.Info("announce worker", "worker", l.id, "machine", a.Machine, "rack", a.Rack, "ends", ends, "error", err)
 	})
 }
 
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"corianderpass/internal/process/runner"
 	"corianderpass/internal/process/standin"
 	"corianderpass/internal/process/workload"
 )
@@ -172,6 +173,51 @@
 	})
 }
 
+// A minion restarts under its ID just before an order of its earlier life arrives. The new
+// life carries the order out and has ended the run before it answers its agent. The agent
+// must announce that end with the life: the task must not be placed again first.
+func TestRunOfEarlierLifeIsNotRepeatedInNewLife(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		const orderDelay, restartLead = 3 * time.Second, 10 * time.Millisecond
+		a := in.addWorker(workerCapacity())
+		time.Sleep(4 * time.Second)
+		in.setDuration(time.Millisecond)
+		a.minion.DelayStarts(1)
+		in.submit(spec("job", 1, smallTask()))
+		for a.minion.DelayedStarts() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		a.minion.SetUnresponsive(true, false)
+		time.Sleep(orderDelay - restartLead)
+		a.minion.StartLife()
+		a.minion.SetUnresponsive(true, false)
+		time.Sleep(2 * restartLead)
+		a.minion.SetUnresponsive(false, false)
+		// After the announcement, the agent can record nothing for longer than the leader
+		// takes to place the task again.
+		for !in.isPresent(runner.LifeID(a.minion.ID, a.minion.Born())) {
+			time.Sleep(time.Millisecond)
+		}
+		a.log.SetDown(true)
+		time.Sleep(500 * time.Millisecond)
+		a.log.SetDown(false)
+		in.await("job", workload.OutcomeCompleted, 12*time.Second)
+		if starts, _ := in.runLog.Counts(workload.TaskRef{Job: "job"}); starts != 1 {
+			t.Errorf("got %d starts of the task, want 1", starts)
+		}
+	})
+}
+
+// isPresent reports whether the first entry knows the life and it is not gone.
+func (in *installation) isPresent(life workload.LifeID) (present bool) {
+	e := in.entries[0]
+	e.journal.View(func(time.Time) {
+		w := e.state.Worker(life)
+		present = w != nil && !w.Gone
+	})
+	return present
+}
+
 // Agents, minions and the log fail at random in a whole installation. No task may run twice
 // at the same time, no worker may be overcommitted, and every accepted job must complete.
 func TestRandomFaultsCauseNoDuplicateRuns(t *testing.T) {
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -115,6 +115,13 @@
 	m.delayedStarts = n
 }
 
+// DelayedStarts returns how many of the next starts will take effect late.
+func (m *TaskMinion) DelayedStarts() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.delayedStarts
+}
+
 // Born returns the start of the life in Unix milliseconds.
 func (m *TaskMinion) Born() int64 {
 	m.mu.Lock()
--- a/internal/process/workload/property_test.go
+++ b/internal/process/workload/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,13 +41,18 @@
 	machine := rapid.IntRange(0, 3).Draw(w.t, "machine")
 	life := workload.LifeID(fmt.Sprintf("m%d/%d", machine, w.lifeCount))
 	rack := platform.RackID(fmt.Sprint("r", machine/2))
+	ends := w.drawEndsOfEarlierLives(life, machine)
 	err := w.apply("agent", workload.Record{Announce: &workload.Announce{
 		Life: life, Machine: platform.WorkerID(fmt.Sprint("m", machine)), Agent: "agent", Service: "s", Rack: rack,
 		Labels: []string{"a", string(rack)}, Room: workload.Resources{Cores: 8000, Memory: 64, Accelerators: 8},
+		Ends: ends,
 	}})
 	if err != nil {
 		w.t.Fatal(err)
 	}
+	for _, e := range ends {
+		w.countEnd(w.state.Job(e.Task.Job), e.Task, e.How)
+	}
 	// Before it announces a life, an agent makes sure that the runs of earlier lives on the
 	// machine have ended.
 	for _, runs := range w.running {
@@ -58,6 +64,29 @@
 	}
 }
 
+// drawEndsOfEarlierLives returns the end of a random run that an earlier life on the machine
+// may still execute and the new life has carried out instead, or nil.
+func (w *workerModel) drawEndsOfEarlierLives(life workload.LifeID, machine int) []workload.End {
+	j := w.drawOpenJob()
+	if j == nil || !rapid.Bool().Draw(w.t, "late order") {
+		return nil
+	}
+	i := rapid.IntRange(0, len(j.Steps)-1).Draw(w.t, "step")
+	ref := j.Ref(0, i, rapid.IntRange(0, j.Steps[i].Tasks-1).Draw(w.t, "index"))
+	if j.Steps[i].Gang {
+		return nil
+	}
+	for other, run := range w.running[ref] {
+		if !strings.HasPrefix(string(other), fmt.Sprintf("m%d/", machine)) {
+			continue
+		}
+		w.endNumbers[life]++
+		how := rapid.SampledFrom([]workload.RunOutcome{workload.RunDone, workload.RunFailed, workload.RunStopped}).Draw(w.t, "how")
+		return []workload.End{{Number: w.endNumbers[life], Task: ref, Run: run, How: how}}
+	}
+	return nil
+}
+
 func (w *workerModel) submit(n int) {
 	spec := workload.JobSpec{ID: workload.JobID(fmt.Sprint("j", n)), Queue: "q", Organisation: "o", Service: "s", Attempts: rapid.IntRange(1, 3).Draw(w.t, "attempts")}
 	steps := rapid.IntRange(1, 3).Draw(w.t, "steps")
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -71,6 +71,10 @@
 	Labels        []string        `json:",omitempty"`
 	// Room is the worker's total resources.
 	Room Resources
+	// Ends are all ends that the life lists. They are recorded before the other lives on
+	// the machine end, since a minion may carry out an order of its earlier life in the new
+	// one: what has ended there must not be placed again.
+	Ends []End `json:",omitempty"`
 }
 
 // Report updates the condition of a worker and the progress of its runs.
--- a/internal/process/workload/runs.go
+++ b/internal/process/workload/runs.go
@@ -175,14 +175,33 @@
 	if w == nil {
 		return fmt.Errorf("%w: %s", ErrUnknownWorker, r.Life)
 	}
-	for _, e := range r.Ends {
+	s.recordEnds(w, r.Ends)
+	return nil
+}
+
+// recordEnds applies the ends of the life that are not recorded yet.
+func (s *State) recordEnds(w *Worker, ends []End) {
+	for _, e := range ends {
 		if e.Number <= w.SeenEnds {
 			continue
 		}
 		w.SeenEnds = e.Number
-		s.endRun(w, e)
+		s.endRun(s.holderOf(e, w), e)
 	}
-	return nil
+}
+
+// holderOf returns the life on w's machine on which the run reserves resources, or w if
+// there is none. It is an earlier life than w if the minion has carried out an order in w
+// that was sent to that life.
+func (s *State) holderOf(e End, w *Worker) *Worker {
+	_, _, t, ok := s.Task(e.Task)
+	if !ok || t.Run != e.Run {
+		return w
+	}
+	if holder := s.workers[t.Worker]; holder != nil && holder.Machine == w.Machine {
+		return holder
+	}
+	return w
 }
 
 // endRun applies the end of one run. It ignores the end unless the run is the newest of its
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -18,16 +18,17 @@
 }
 
 func (s *State) announce(r Announce) error {
-	for _, w := range s.workers {
-		if w.Machine == r.Machine && w.Life != r.Life && !w.Gone {
-			s.endLife(w)
-		}
-	}
 	w := s.workers[r.Life]
 	if w == nil {
 		w = &Worker{Life: r.Life, Machine: r.Machine}
 		s.workers[r.Life] = w
 	}
+	s.recordEnds(w, r.Ends)
+	for _, other := range s.workers {
+		if other.Machine == r.Machine && other.Life != r.Life && !other.Gone {
+			s.endLife(other)
+		}
+	}
 	w.Agent, w.Address = r.Agent, r.Address
 	w.Service, w.FailureDomain, w.Rack, w.Labels = r.Service, r.FailureDomain, r.Rack, r.Labels
 	w.Room = r.Room
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -210,3 +210,46 @@
 		t.Errorf("after the end of run 1 got runs %v on w0, want only run 2 and no counted failure", w.Runs)
 	}
 }
+
+// announceReborn announces the life "w0b" on the machine of "w0", which lists one end of
+// run 1 of the task.
+func (f *fixture) announceReborn(r workload.TaskRef, how workload.RunOutcome) {
+	f.t.Helper()
+	f.mustApply(workload.Record{Announce: &workload.Announce{
+		Life: "w0b", Machine: "mw0", Service: "s", Room: workload.Resources{Cores: 8000, Memory: 80, Accelerators: 8},
+		Ends: []workload.End{{Number: 1, Task: r, Run: 1, How: how}},
+	}})
+}
+
+// A minion is restarted under its ID, and its new life carries out an order of the earlier one
+// that was delayed. The run is done before the agent announces the new life, so that the
+// task must not become ready for another run in between.
+func TestAnnouncedEndOfRunOfEarlierLifeCompletesTask(t *testing.T) {
+	f := newFixture(t)
+	f.submit("j", 2, oneAcceleratorStep(1))
+	if err := f.place(ref("j", 0), 1, "w0"); err != nil {
+		t.Fatal(err)
+	}
+	f.announceReborn(ref("j", 0), workload.RunDone)
+	if j := f.state.Job("j"); j.Outcome != workload.OutcomeCompleted {
+		t.Errorf("got outcome %q after the announcement of the run's end, want Completed", j.Outcome)
+	}
+	f.wantError(f.place(ref("j", 0), 2, "w1"), workload.ErrJobEnded, "second run of a completed task")
+	if seen := f.state.Worker("w0b").SeenEnds; seen != 1 {
+		t.Errorf("got SeenEnds %d of the announced life, want 1", seen)
+	}
+}
+
+// The run of an earlier life fails in the new one. The failure must count against the
+// job's attempts, since the task has run.
+func TestAnnouncedFailureOfRunOfEarlierLifeCounts(t *testing.T) {
+	f := newFixture(t)
+	f.submit("j", 1, oneAcceleratorStep(1))
+	if err := f.place(ref("j", 0), 1, "w0"); err != nil {
+		t.Fatal(err)
+	}
+	f.announceReborn(ref("j", 0), workload.RunFailed)
+	if j := f.state.Job("j"); j.Outcome != workload.OutcomeFailed {
+		t.Errorf("got outcome %q after a failure of the only attempt, want Failed", j.Outcome)
+	}
+}
