internal/process/membership: keep a process dead until it sends a newer heartbeat

Cause: MarkDead set only the time of the last heartbeat, so that a digest of another entry with a heartbeat from before the death revived the process. Update also let a late digest move the last heartbeat back, behind one that Touch had recorded. Change: MarkDead notes its time; heartbeats sent by then do not revive. The time of the last heartbeat never moves back.

--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -88,6 +88,9 @@
 	// sentAt is when the process sent its last heartbeat, which Update or Touch recorded, on
 	// the clock of the Directory's process: the time of arrival less the heartbeat's age.
 	sentAt time.Time
+	// deadAt is when MarkDead was last called for the process; zero if never. Heartbeats that
+	// were sent by then do not make the process count as alive.
+	deadAt time.Time
 }
 
 // Directory holds the processes from which heartbeats have arrived. The zero value is
@@ -118,7 +121,10 @@
 		if found && previous.Sequence >= h.Sequence || h.Age >= deadRetention {
 			continue
 		}
-		current := memberState{Heartbeat: h, sentAt: now.Add(-h.Age)}
+		current := memberState{Heartbeat: h, sentAt: now.Add(-h.Age), deadAt: previous.deadAt}
+		if found && !current.sentAt.After(later(previous.sentAt, previous.deadAt)) {
+			current.sentAt = previous.sentAt
+		}
 		d.members[h.ID] = current
 		changed = changed || !found || !d.isAlive(previous, now) || !previous.sameDescription(h) || previous.Version != h.Version
 	}
@@ -127,6 +133,14 @@
 	}
 }
 
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Touch records a heartbeat that was sent the given age ago and contains only the bundle in
 // force at its process; the other recorded fields stay as they are. It reports whether the
 // process is in the directory, and changes nothing if it is not.
@@ -138,7 +152,7 @@
 		return false
 	}
 	sentAt := now.Add(-age)
-	if !sentAt.After(m.sentAt) {
+	if !sentAt.After(later(m.sentAt, m.deadAt)) {
 		return true
 	}
 	changed := !d.isAlive(m, now) || v > m.Version
@@ -160,13 +174,13 @@
 	return now.Sub(m.sentAt) < timeout
 }
 
-// MarkDead makes a process that has ended count as dead immediately, until a newer heartbeat of
-// it arrives.
+// MarkDead makes a process that has ended count as dead immediately, until a heartbeat arrives
+// that it sent after now.
 func (d *Directory) MarkDead(now time.Time, id incarnation.ID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if m, found := d.members[id]; found {
-		m.sentAt = now.Add(-DefaultTimeout)
+		m.sentAt, m.deadAt = now.Add(-DefaultTimeout), now
 		d.members[id] = m
 	}
 	d.publish(now)
--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -48,6 +48,45 @@
 	}
 }
 
+// Another entry forwards the last heartbeat of a process that has been marked as dead meanwhile,
+// since it noticed the death later. The process must stay dead, and a heartbeat that it sends
+// afterwards must make it alive again.
+func TestForwardedHeartbeatDoesNotReviveProcessMarkedDead(t *testing.T) {
+	d := membership.Directory{HomeRegion: "r"}
+	now := time.Now()
+	d.Update(now, heartbeat("a", 5, 0))
+	now = now.Add(time.Second)
+	d.MarkDead(now, "a")
+	d.Update(now, heartbeat("a", 6, 500*time.Millisecond))
+	if d.IsAlive("a") {
+		t.Error("got alive after a forwarded heartbeat from before the death, want dead")
+	}
+	d.Touch(now, "a", 100*time.Millisecond, 1)
+	if d.IsAlive("a") {
+		t.Error("got alive after a touch from before the death, want dead")
+	}
+	d.Update(now.Add(time.Second), heartbeat("a", 7, 100*time.Millisecond))
+	if !d.IsAlive("a") {
+		t.Error("got dead after a heartbeat that was sent later, want alive")
+	}
+}
+
+// A digest arrives late and has a newer sequence, but was sent before a heartbeat without one was
+// recorded. It must not make the process time out earlier.
+func TestLateDigestDoesNotMoveLastHeartbeatBack(t *testing.T) {
+	d := membership.Directory{HomeRegion: "r"}
+	now := time.Now()
+	d.Update(now, heartbeat("a", 5, 0))
+	now = now.Add(2 * time.Second)
+	d.Touch(now, "a", 0, 1)
+	d.Update(now, heartbeat("a", 6, 1500*time.Millisecond))
+	now = now.Add(2 * time.Second)
+	d.Sweep(now)
+	if !d.IsAlive("a") {
+		t.Error("got dead 2s after the last heartbeat, want alive")
+	}
+}
+
 // Removing a member must not change the order of the other members, or keys would move
 // between members that remain. RankOf must agree with Rank.
 func TestRankKeepsOrderOfRemainingMembers(t *testing.T) {
