--- a/internal/process/journal/compress.go
+++ b/internal/process/journal/compress.go
@@ -5,13 +5,15 @@
 	"compress/gzip"
 	"fmt"
 	"io"
+
+	"github.com/pkg/errors"
 )
 
 const (
 	// compressThreshold is the size in bytes above which a payload is compressed.
 	compressThreshold = 2048
-	// maxUnpackedSize is the size in bytes at which a payload is cut off when it is
-	// decompressed.
+	// maxUnpackedSize is the largest size in bytes that a payload may have when it is
+	// decompressed. It keeps a corrupt payload from taking all memory.
 	maxUnpackedSize = 64 << 20
 )
 
@@ -35,7 +37,7 @@
 	return packed.Bytes(), nil
 }
 
-// unpack reverses pack. It cuts the result off at maxUnpackedSize bytes.
+// unpack reverses pack. It returns an error for a payload of more than maxUnpackedSize bytes.
 func unpack(payload []byte) ([]byte, error) {
 	if !bytes.HasPrefix(payload, gzipMagic) {
 		return payload, nil
@@ -44,9 +46,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: unpack: %w", err)
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedSize))
+	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedSize+1))
 	if err != nil {
 		return nil, fmt.Errorf("journal: unpack: %w", err)
 	}
+	if len(data) > maxUnpackedSize {
+		return nil, errors.Errorf("journal: unpack: payload has more than %d bytes", maxUnpackedSize)
+	}
 	return data, nil
 }
--- a/internal/process/journal/compress_test.go
+++ b/internal/process/journal/compress_test.go
@@ -34,6 +34,18 @@
 	})
 }
 
+// A payload that is larger than the limit must be an error. A part of it might decode as a
+// state that lacks records.
+func TestUnpackRejectsTooLargePayload(t *testing.T) {
+	packed, err := journal.Pack(make([]byte, 64<<20+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if data, err := journal.Unpack(packed); err == nil {
+		t.Errorf("got %d bytes of a payload of %d, want an error", len(data), 64<<20+1)
+	}
+}
+
 // BenchmarkPack packs and unpacks a bundle of n organisations, as an Adopt record
 // carries it.
 func BenchmarkPack(b *testing.B) {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -25,7 +25,7 @@
 	"github.com/pkg/errors"
 )
 
-// maxAnswerBytes limits the bytes that are read of the body of one answer. The rest is ignored.
+// maxAnswerBytes is the size of the largest body that is accepted as an answer.
 const maxAnswerBytes = 64 << 20
 
 // Client calls one entry, or several through a load balancer. It must be created with New. It is
@@ -176,17 +176,21 @@
 }
 
 // send sends the request and returns the response with its whole body. If no connection could be
-// opened, the error has FateNotRun. If no complete answer arrived, it has FateUnknown.
+// opened, the error has FateNotRun. If no complete answer arrived, or one of more than
+// maxAnswerBytes, it has FateUnknown.
 func (c *Client) send(request *http.Request) (*http.Response, []byte, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, nil, transportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, nil, &Error{Code: CodeUnknownFate, Fate: FateUnknown, Message: "the answer is incomplete: " + err.Error()}
 	}
+	if len(body) > maxAnswerBytes {
+		return nil, nil, &Error{Code: CodeAnswerTooLong, Fate: FateUnknown, Message: fmt.Sprintf("the answer has more than %d bytes", maxAnswerBytes)}
+	}
 	return response, body, nil
 }
 
--- a/pkg/platform/keyed.go
+++ b/pkg/platform/keyed.go
@@ -16,7 +16,8 @@
 	// Read continues. If keys are added and removed while the records are collected, the result
 	// includes the records that Replace added in that time.
 	Newest(ctx context.Context, stream Stream) ([]LogRecord, Offset, error)
-	// Replace appends the payloads, each with a new key, and removes the keys in one step: a
-	// reader sees both or neither.
+	// Replace appends the payloads, each with a new key, and then removes the keys. A reader that
+	// misses one of the keys sees all payloads. If Replace fails, any part of this may have
+	// happened or may happen later, in this order.
 	Replace(ctx context.Context, stream Stream, payloads [][]byte, keys []Key) error
 }
