internal/connection/caller: count requests to unknown services in one metric

Cause: the service in a request's path became a label, so that a caller could add any number of series to an entry of 184 MB. Change: services that the bundle in force does not contain have the label unknown. Result: TestUnknownServicesShareOneMetric failed before and passes.

--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -117,6 +117,19 @@
 	return &client.Error{Code: client.CodeInvalid, Fate: client.FateNotRun, Message: message}
 }
 
+// unknownService is the label of services that the bundle does not contain. Callers choose the
+// name in the path, so each of them as a label would let them add any number of series.
+const unknownService = "unknown"
+
+func (h *handler) serviceLabel(name bundle.ServiceName) string {
+	if current := h.service.InForce(); current != nil {
+		if _, known := current.Bundle.Service(name); known {
+			return string(name)
+		}
+	}
+	return unknownService
+}
+
 // observe records the latency of a request by organisation, service and outcome. The
 // outcome of an answer is the fate Ran, that of an error its fate, a slash and its code.
 func (h *handler) observe(c Call, startedAt time.Time, err error) {
@@ -124,7 +137,7 @@
 	if e := client.AsError(err); e != nil {
 		outcome = string(e.Fate) + "/" + string(e.Code)
 	}
-	labels := fmt.Sprintf(`{organisation=%q,service=%q,outcome=%q}`, c.Organisation.Name, c.Service, outcome)
+	labels := fmt.Sprintf(`{organisation=%q,service=%q,outcome=%q}`, c.Organisation.Name, h.serviceLabel(c.Service), outcome)
 	h.metrics.GetOrCreateHistogram("corianderpass_request_seconds" + labels).Update(time.Since(startedAt).Seconds())
 }
 
--- a/internal/connection/caller/handler_test.go
+++ b/internal/connection/caller/handler_test.go
@@ -91,6 +91,7 @@
 			{Name: "audit", TokenDigests: []string{digest("audit-token")}},
 			{Name: "timber", TokenDigests: []string{digest("timber-token")}},
 		},
+		Services: []bundle.Service{{Name: "s"}},
 	}}}, private
 }
 
@@ -139,6 +140,26 @@
 	}
 }
 
+// A caller can put any name in the path. The number of metric series must not grow with the
+// names that it tries.
+func TestUnknownServicesShareOneMetric(t *testing.T) {
+	s, _ := newService()
+	set := metrics.NewSet()
+	server := httptest.NewServer(caller.NewHandler(s, hclog.NewNullLogger(), set))
+	t.Cleanup(server.Close)
+	c := client.New(strings.TrimPrefix(server.URL, "http://"))
+	c.Token = "audit-token"
+	s.err = &client.Error{Code: client.CodeNotFound, Fate: client.FateNotRun, Message: "no such service"}
+	for _, name := range []string{"s", "x1", "x2", "x3"} {
+		if _, err := c.Do(t.Context(), client.Request{Service: name}); err == nil {
+			t.Fatalf("service %s: got no error, want that of the service", name)
+		}
+	}
+	if names := set.ListMetricNames(); len(names) != 2 {
+		t.Errorf("got metrics %v for one known and three unknown services, want 2", names)
+	}
+}
+
 // If an error lost its code, fate or retry time between the service and the client, the
 // caller would repeat what may have run, or retry too early. The client must return the
 // same error as the service.
