internal/process/workload: refuse jobs whose numbers overflow or make no sense

Cause: tasks times occurrences could overflow and pass the limit (the test ran out of memory), sums of memory or cores could overflow, negative tail targets and budgets passed, and occurrences without a first due time were due in 1970. Change: Check bounds each value; sums and products cannot overflow. An already recorded job with such values would be dropped when its record is folded again; none can have run as submitted. Result: TestSubmitRefusesValuesOutOfRange failed before and passes.

--- a/internal/process/workload/job.go
+++ b/internal/process/workload/job.go
@@ -149,6 +149,10 @@
 // job fits in a record.
 const maxTasks = 20000
 
+// maxNeed is the most that one task may require. It is far above any worker and keeps sums over
+// maxTasks tasks from overflowing.
+var maxNeed = Resources{Cores: 1 << 40, Memory: 1 << 40, Accelerators: 1 << 20}
+
 // ErrInvalidJob is returned for a JobSpec with missing or contradictory values.
 var ErrInvalidJob = errors.New("workload: invalid job")
 
@@ -166,24 +170,32 @@
 	if s.ID == "" || len(s.Steps) == 0 {
 		return fmt.Errorf("%w: ID or steps are missing", ErrInvalidJob)
 	}
-	if s.Attempts < 1 || s.Times < 0 || s.Interval < 0 {
-		return fmt.Errorf("%w: attempts, times or interval is out of range", ErrInvalidJob)
+	if s.Attempts < 1 || s.Times < 0 || s.Interval < 0 || s.FirstDue < 0 {
+		return fmt.Errorf("%w: attempts, times, interval or first due time is out of range", ErrInvalidJob)
+	}
+	if s.FirstDue == 0 && s.OccurrenceCount() > 1 {
+		// Due times are Unix times, so later occurrences would be due in 1970.
+		return fmt.Errorf("%w: several occurrences without a first due time", ErrInvalidJob)
 	}
 	tasks := 0
 	for i, step := range s.Steps {
 		if err := step.check(i); err != nil {
 			return err
 		}
-		tasks += step.Tasks
+		// Each term is limited, so that the sum and the product cannot overflow.
+		if tasks += min(step.Tasks, maxTasks+1); tasks > maxTasks {
+			return fmt.Errorf("%w: job has more than %d tasks", ErrInvalidJob, maxTasks)
+		}
 	}
-	if tasks > maxTasks || tasks*s.OccurrenceCount() > maxTasks {
-		return fmt.Errorf("%w: job has more than %d tasks", ErrInvalidJob, maxTasks)
+	if s.OccurrenceCount() > maxTasks/tasks {
+		return fmt.Errorf("%w: job has more than %d tasks in all occurrences", ErrInvalidJob, maxTasks)
 	}
 	return nil
 }
 
 func (s StepSpec) check(i int) error {
-	if s.Tasks < 1 || s.Need.Cores < 0 || s.Need.Accelerators < 0 || s.PerWorker < 0 || s.Estimate < 0 {
+	if s.Tasks < 1 || s.Need.Cores < 0 || s.Need.Accelerators < 0 || !s.Need.FitsIn(maxNeed) ||
+		s.PerWorker < 0 || s.Estimate < 0 || s.TailTarget < 0 || s.MayMiss < 0 {
 		return fmt.Errorf("%w: step %d has a value out of range", ErrInvalidJob, i)
 	}
 	for _, earlier := range s.After {
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -253,3 +253,26 @@
 		t.Errorf("got outcome %q after a failure of the only attempt, want Failed", j.Outcome)
 	}
 }
+
+// A job with a value out of range must be refused with an error. If it was accepted, a product
+// that overflows would pass the limit on tasks, negative amounts would add to a worker's free
+// resources, and occurrences without a first due time would be due in 1970.
+func TestSubmitRefusesValuesOutOfRange(t *testing.T) {
+	for name, change := range map[string]func(*workload.JobSpec){
+		"tasks times occurrences overflow": func(s *workload.JobSpec) { s.Times, s.FirstDue, s.Steps[0].Tasks = 1<<62, 1, 4 },
+		"sum of tasks overflows": func(s *workload.JobSpec) {
+			s.Steps[0].Tasks = 1<<63 - 1
+			s.Steps = append(s.Steps, s.Steps[0])
+		},
+		"memory that overflows":      func(s *workload.JobSpec) { s.Steps[0].Need.Memory = 1 << 63 },
+		"negative tail target":       func(s *workload.JobSpec) { s.Steps[0].TailTarget = -1 },
+		"negative disruption budget": func(s *workload.JobSpec) { s.Steps[0].MayMiss = -1 },
+		"negative first due time":    func(s *workload.JobSpec) { s.FirstDue = -1 },
+		"no first due time":          func(s *workload.JobSpec) { s.Times, s.Interval = 2, time.Second },
+	} {
+		f := newFixture(t)
+		s := workload.JobSpec{ID: "j", Queue: "q", Service: "s", Attempts: 1, Steps: []workload.StepSpec{oneAcceleratorStep(1)}}
+		change(&s)
+		f.wantError(f.apply("entry", workload.Record{Submit: &workload.Submit{Spec: s}}), workload.ErrInvalidJob, name)
+	}
+}
