--- a/cmd/corianderpass-experiment/main.go
+++ b/cmd/corianderpass-experiment/main.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -44,10 +45,11 @@
 	calm := flag.Bool("calm", false, "simulate no faults and no cancellations")
 	only := flag.String("only", "", "measure only policies whose names contain this `text`")
 	days := flag.Int("days", 100, "number of days to simulate per scenario")
+	loads := flag.String("loads", "", "simulate each scenario at these multiples of its capacity, such as 0.7,1,3")
 	flag.Usage = usage
 	flag.Parse()
 	if flag.NArg() > 0 {
-		if err := simulateScenarios(flag.Args(), *days); err != nil {
+		if err := simulateScenarios(flag.Args(), *days, *loads); err != nil {
 			fmt.Fprintln(os.Stderr, "corianderpass-experiment:", err)
 			os.Exit(1)
 		}
@@ -82,22 +84,33 @@
 }
 
 // simulateScenarios simulates the allocation policy on each scenario file for the number of days
-// and prints a table of the means.
-func simulateScenarios(paths []string, days int) error {
+// and prints a table of the means. loads is a list of the loads to simulate each scenario at; empty
+// for its own arrival rates.
+func simulateScenarios(paths []string, days int, loads string) error {
 	if err := simulation.PrintHeader(os.Stdout); err != nil {
 		return err
 	}
 	for _, path := range paths {
-		s, err := simulation.Load(path)
-		if err != nil {
-			return err
-		}
-		means, err := simulation.SimulateDays(&s, days, func() simulation.Policy { return allocation.Decide })
-		if err != nil {
-			return fmt.Errorf("%s: %w", path, err)
-		}
-		if err := means.Print(os.Stdout, s.Name); err != nil {
-			return err
+		for text := range strings.SplitSeq(loads, ",") {
+			s, err := simulation.Load(path)
+			if err != nil {
+				return err
+			}
+			if text != "" {
+				load, err := strconv.ParseFloat(text, 64)
+				if err != nil || load <= 0 {
+					return fmt.Errorf("-loads: %q is not a number above 0", text)
+				}
+				s.SetLoad(load)
+				s.Name += " " + text
+			}
+			means, err := simulation.SimulateDays(&s, days, func() simulation.Policy { return allocation.Decide })
+			if err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+			if err := means.Print(os.Stdout, s.Name); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/internal/process/simulation/arrivals.go
+++ b/internal/process/simulation/arrivals.go
@@ -49,6 +49,42 @@
 	return all
 }
 
+// demandSamples is the number of jobs of each class that demand draws.
+const demandSamples = 1000
+
+// demand returns the mean demand of the jobs that arrive outside of bursts, as a share of the
+// capacity of all workers, in the resource of which it takes the largest share.
+func (s *Scenario) demand() float64 {
+	r := rand.New(rand.NewPCG(1, 9))
+	var cores, memory, accelerators float64
+	for i := range s.Classes {
+		c := &s.Classes[i]
+		for range demandSamples {
+			a := s.drawJob(r, c, 0, 0)
+			for k, step := range a.spec.Steps {
+				for _, work := range a.work[k] {
+					seconds := work.Seconds() * c.PerS / demandSamples
+					cores += seconds * float64(step.Need.Cores)
+					memory += seconds * float64(step.Need.Memory)
+					accelerators += seconds * float64(step.Need.Accelerators)
+				}
+			}
+		}
+	}
+	workers := float64(s.Workers)
+	return max(cores/workers/float64(s.Room.Cores), memory/workers/float64(s.Room.Memory),
+		accelerators/workers/float64(max(s.Room.Accelerators, 1)))
+}
+
+// SetLoad scales the arrival rates of all classes so that the mean demand outside of bursts is
+// the given multiple of the capacity of all workers.
+func (s *Scenario) SetLoad(load float64) {
+	factor := load / s.demand()
+	for i := range s.Classes {
+		s.Classes[i].PerS *= factor
+	}
+}
+
 // drawGap draws the time to the next arrival at a mean rate of perS arrivals per second.
 func drawGap(r *rand.Rand, perS float64) time.Duration {
 	if perS <= 0 {
