internal/process/allocation: bound the work that a preemption discards

Change: a unit outside its organisation's guarantee stops runs only if they lose at most twice its own work. Long-running tasks have no work to lose. Guaranteed units preempt as before, since they must start within the reclaim time.

--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -177,6 +177,36 @@
 	}
 }
 
+// Short urgent jobs arrive all the time beside long ones that do not save checkpoints. If each of
+// them stopped runs that are far advanced, the long jobs would lose more work than the
+// urgent ones bring.
+func TestShortUrgentUnitDoesNotDiscardMuchWork(t *testing.T) {
+	f := newFixture(t, 1, 8)
+	f.submit("batch", 2, step(8, 1, time.Minute))
+	f.decide()
+	f.decide()
+	f.now += 30 * time.Second
+	f.submit("urgent", 0, step(1, 8, 2*time.Second))
+	if d := f.decide(); len(d.Stops) > 0 {
+		t.Fatalf("got %d stops that lose 30s of 8 runs for a task of 2s, want 0", len(d.Stops))
+	}
+}
+
+// A unit within its organisation's guarantee must start within the reclaim time, however much
+// work its victims lose.
+func TestGuaranteedUnitPreemptsAtAnyLoss(t *testing.T) {
+	f := newFixture(t, 1, 8)
+	f.bundle.Organisations = []bundle.Organisation{{Name: "org", GuaranteedAccelerators: 8}}
+	f.submit("batch", 2, step(8, 1, time.Minute))
+	f.decide()
+	f.decide()
+	f.now += 30 * time.Second
+	f.submit("urgent", 0, step(1, 8, 2*time.Second))
+	if d := f.decide(); len(d.Stops) == 0 {
+		t.Fatal("got no stops for a unit within its guarantee, want some")
+	}
+}
+
 // An urgent unit must wait for runs that end soon enough for it to start in time: stopping
 // them would lose their work for nothing. The capacity that becomes free must be reserved for
 // the unit.
--- a/internal/process/allocation/evict.go
+++ b/internal/process/allocation/evict.go
@@ -14,6 +14,18 @@
 	cost        float64
 }
 
+// discardedWork returns the work in core-seconds that the victims have to do again. A long-running
+// task has none: it only serves less while it restarts.
+func (e *eviction) discardedWork() float64 {
+	sum := 0.0
+	for _, v := range e.victims {
+		if !v.longRunning {
+			sum += v.lostWork
+		}
+	}
+	return sum
+}
+
 // victimSearch selects the runs to stop so that one unit fits on a set of hosts. Each
 // iteration selects victims that free enough capacity on one host for one more member of the
 // unit. Victims spread over several hosts might free enough capacity in sum, but on no host
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -22,6 +22,8 @@
 	// negative if unlimited.
 	step   workload.StepRef
 	budget int
+	// longRunning is true for a run whose work does not count towards an end.
+	longRunning bool
 	// members are the tasks that end when the run is stopped: its own task, or the whole gang.
 	members []workload.TaskRef
 }
@@ -29,9 +31,15 @@
 // key identifies the victim; it is the same for all members of a gang.
 func (v victim) key() workload.TaskRef { return v.members[0] }
 
+// maxLossFactor is the most work that a unit outside its organisation's guarantee may make others
+// lose, as a multiple of its own work. The victims
+// need the lost time again, so that beyond it a preemption delays more work than it brings forward.
+const maxLossFactor = 2
+
 // preempt stops runs so that the unit fits, on the set of hosts where this loses the least work.
 // It returns the hosts on which the unit then fits. If stopping runs of lower rank does not free
-// enough capacity on any set, it stops none and returns nil.
+// enough capacity on any set, or would lose more than maxLossFactor allows, it stops none and
+// returns nil.
 func (p *plan) preempt(u *unit) []assignment {
 	var best *eviction
 	for _, hosts := range p.hostGroups(u) {
@@ -40,7 +48,7 @@
 			best = e
 		}
 	}
-	if best == nil {
+	if best == nil || u.rank.tier != tierGuaranteed && best.discardedWork() > maxLossFactor*u.work() {
 		return nil
 	}
 	for _, v := range best.victims {
@@ -104,7 +112,7 @@
 		members = membersOf(j, r, &j.Occurrences[r.Occurrence].Steps[r.Step])
 	}
 	return victim{
-		task: r, run: run, members: members, step: r.StepRef(), budget: p.disruptionBudget(j, r),
+		task: r, run: run, members: members, step: r.StepRef(), budget: p.disruptionBudget(j, r), longRunning: spec.LongRunning,
 		lostWork: coreSeconds(spec.Need, lostTime+restartCost) * float64(len(members)),
 	}
 }
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// work returns the expected work of the unit's next run in core-seconds.
+func (u *unit) work() float64 { return coreSeconds(u.total(len(u.members)), u.duration) }
+
 // rankedUnits returns all waiting units that may start, the most important first.
 func (p *plan) rankedUnits() []*unit {
 	var units []*unit
