--- a/internal/process/presence/presence_test.go
+++ b/internal/process/presence/presence_test.go
@@ -85,9 +85,11 @@
 // count as silence either: a single failed read must restart Silence.
 func TestShortLogOutageIsNotSilence(t *testing.T) {
 	withListener(t, func(t *testing.T, log *standin.Log, l *presence.Listener) {
-		time.Sleep(2 * time.Second)
+		// The listener reads every 500 ms from 0 on. No event is at the time of a read, so that the
+		// heartbeat is read before the outage and one read fails.
+		time.Sleep(2100 * time.Millisecond)
 		send(t, log, "life")
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(700 * time.Millisecond)
 		log.SetFaults(standin.LogFaults{Down: true})
 		time.Sleep(800 * time.Millisecond)
 		log.SetFaults(standin.LogFaults{})
