internal/process/allocation: keep as many jobs in time as fit, the others yield

Cause: units were ranked by least slack. Once the work exceeds the capacity, all of it goes to jobs that are late already, and the others become late in turn: in a test of three times the load, 9 of 36 jobs that could end in time did. A trial that took the waves of a quarter of the capacity as the least time to the end left 10 of 36 in time. Change: each decision forecasts the open occurrences. In the order of deadlines, those with the least benefit for the work that they need are put off until the rest fits into 0.6 of the capacity; what then does not fit before its benefit ends waits for all others. Within a priority, the most benefit for the work left goes first. Late units preempt only within a guarantee.

--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -53,6 +53,7 @@
 // cannot use.
 func Decide(in Input) Decision {
 	p := newPlan(in)
+	p.forecastAll()
 	p.evacuate()
 	p.migrate()
 	for _, u := range p.rankedUnits() {
@@ -77,7 +78,9 @@
 	withinGuarantee map[bundle.OrganisationName]bool
 	// serviceCapacities is the total capacity of each service's workers, used or not.
 	serviceCapacities map[bundle.ServiceName]workload.Resources
-	decision          Decision
+	// forecasts has the open occurrences that may start and have an objective.
+	forecasts map[occurrenceKey]*forecast
+	decision  Decision
 }
 
 // tryPlace places the unit and returns true if the unit fits now. Otherwise it returns false,
@@ -101,7 +104,7 @@
 			return false
 		}
 	}
-	if u.rank.tier <= tierUrgent {
+	if u.rank.tier <= tierUrgent && u.rank.outlook != outlookMissed {
 		p.reserveEarliest(u)
 	}
 	return false
--- a/internal/process/allocation/duration_model.go
+++ b/internal/process/allocation/duration_model.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderpass/internal/process/workload"
+	"corianderpass/internal/version/bundle"
 )
 
 const (
@@ -51,6 +52,8 @@
 	// estimates are the estimates of submitted steps, durations those of finished tasks, and
 	// overruns the factors by which durations exceeded estimates.
 	estimates, durations, overruns moments
+	// work has the expected work of submitted jobs in core-seconds.
+	work moments
 }
 
 // addEstimate adds the estimate of a step. An estimate of 0 means that there is none.
@@ -99,14 +102,25 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// addEstimates adds the estimates of a new job to the model of its queue.
+// addEstimates adds the estimates and the work of a new job to the model of its queue.
 func (h *History) addEstimates(j *workload.Job) {
 	model := h.durationModels[j.Queue]
 	if model == nil {
 		model = &durationModel{}
 		h.durationModels[j.Queue] = model
 	}
-	for _, s := range j.Steps {
+	work := 0.0
+	for i, s := range j.Steps {
 		model.addEstimate(s.Estimate)
+		work += coreSeconds(s.Need, h.ExpectedDuration(j, i)) * float64(s.Tasks)
 	}
+	model.work.add(work)
+}
+
+// meanWork returns the mean work of the queue's jobs in core-seconds, 0 before the first one.
+func (h *History) meanWork(queue bundle.QueueName) float64 {
+	if model := h.durationModels[queue]; model != nil {
+		return model.work.mean
+	}
+	return 0
 }
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -36,10 +36,14 @@
 	// noBenefit is true if the occurrence has missed its objective by so much that it no longer
 	// yields any benefit.
 	noBenefit bool
-	// late is true if the job has an objective and can no longer end within it.
-	late bool
+	// outlook is that of the occurrence; outlookOnTime if there is no forecast.
+	outlook outlook
+	// density is the benefit that finishing the occurrence still yields for each unit of work that
+	// is left; infinite if there is no forecast.
+	density float64
 	// slack is the time from now until the unit must start so that its job can end within the
-	// objective; negative if that time has passed.
+	// objective or, unless the outlook is outlookOnTime, while it yields benefit; negative if
+	// that time has passed.
 	slack time.Duration
 	// first is the unit's first task. It breaks ties, so that the order is total.
 	first workload.TaskRef
@@ -60,7 +64,13 @@
 
 // mayPreempt reports whether the unit may preempt runs of lower tiers. A unit without benefit
 // may not: the stopped runs rank before it and would start again on the capacity that they freed.
-func (u *unit) mayPreempt() bool { return u.rank.tier <= tierUrgent && !u.rank.noBenefit }
+// Nor may an urgent unit that is late anyway: it gains less than its victims lose.
+func (u *unit) mayPreempt() bool {
+	if u.rank.noBenefit {
+		return false
+	}
+	return u.rank.tier == tierGuaranteed || u.rank.tier == tierUrgent && u.rank.outlook == outlookOnTime
+}
 
 // total returns the sum of the reservations of count members.
 func (u *unit) total(count int) workload.Resources {
@@ -90,8 +100,9 @@
 	return units
 }
 
-// compareRank orders units by importance: those without benefit last, then by tier, slack and
-// first task.
+// compareRank orders units by importance: those without benefit last, before them those that are
+// expected to be missed, then by tier, density, slack and first task. Units within a guarantee are
+// never put off and are ordered by slack.
 func compareRank(a, b rank) int {
 	if a.noBenefit != b.noBenefit {
 		if a.noBenefit {
@@ -99,12 +110,24 @@
 		}
 		return -1
 	}
+	if a.isPutOff() != b.isPutOff() {
+		if a.isPutOff() {
+			return 1
+		}
+		return -1
+	}
 	if a.tier != b.tier {
 		return cmp.Compare(a.tier, b.tier)
 	}
+	if a.tier != tierGuaranteed && a.density != b.density {
+		return cmp.Compare(b.density, a.density)
+	}
 	return cmp.Or(cmp.Compare(a.slack, b.slack), a.first.Compare(b.first))
 }
 
+// isPutOff reports whether the unit waits for all units that are not expected to be missed.
+func (r rank) isPutOff() bool { return r.outlook == outlookMissed && r.tier != tierGuaranteed }
+
 // mayStart reports whether the due time of an occurrence allows it to start.
 func (p *plan) mayStart(j *workload.Job, occurrence int) bool {
 	due := j.DueUnixMilli(occurrence)
@@ -157,9 +180,15 @@
 		tier:      p.tierOf(j),
 		noBenefit: objective > 0 && age > benefitLimitFactor*objective,
 		slack:     objective - age - p.remainingWork(j, step),
+		density:   math.Inf(1),
 		first:     members[0],
 	}
-	u.rank.late = objective > 0 && u.rank.slack < 0
+	if f := p.forecasts[occurrenceKey{j.ID, occurrence}]; f != nil {
+		u.rank.outlook, u.rank.density = f.outlook, f.density()
+		if f.outlook != outlookOnTime {
+			u.rank.slack += (benefitLimitFactor - 1) * objective
+		}
+	}
 	p.setPermits(u)
 	p.setFailedWorkers(u)
 	return u
@@ -180,15 +209,18 @@
 
 // objective returns how long after its submission or due time the job must end to be on time.
 func (p *plan) objective(j *workload.Job) time.Duration {
-	return time.Duration(j.Stretch*float64(p.longestChain(j, 0))) + j.Target.Std()
+	return time.Duration(j.Stretch*float64(p.longestChain(j, 0, p.wavesOf(j)))) + j.Target.Std()
 }
 
 // remainingWork returns the expected time from the start of the step to the end of the job.
-func (p *plan) remainingWork(j *workload.Job, step int) time.Duration { return p.longestChain(j, step) }
+func (p *plan) remainingWork(j *workload.Job, step int) time.Duration {
+	return p.longestChain(j, step, p.wavesOf(j))
+}
 
 // longestChain returns the expected duration of the longest dependency chain among the steps
-// from the given one on.
-func (p *plan) longestChain(j *workload.Job, from int) time.Duration {
+// from the given one on, if the tasks of each step run in the given number of waves, one after the
+// other.
+func (p *plan) longestChain(j *workload.Job, from int, waves func(step int) int) time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	longest := time.Duration(0)
 	for i := from; i < len(j.Steps); i++ {
@@ -196,7 +228,7 @@
 		for _, dependency := range j.Steps[i].After {
 			start = max(start, ends[dependency])
 		}
-		ends[i] = start + p.History.ExpectedDuration(j, i)*time.Duration(p.waves(j, i))
+		ends[i] = start + p.History.ExpectedDuration(j, i)*time.Duration(waves(i))
 		longest = max(longest, ends[i])
 	}
 	return longest
@@ -207,22 +239,15 @@
 // that needs more are assumed to run in several waves, one after the other.
 const concurrentShare = 0.25
 
+func (p *plan) wavesOf(j *workload.Job) func(step int) int {
+	return func(step int) int { return p.waves(j, step) }
+}
+
 // waves returns in how many waves the tasks of a step run if each wave may use concurrentShare
 // of the service's capacity; at least 1.
 func (p *plan) waves(j *workload.Job, step int) int {
-	capacity := p.serviceCapacities[j.Service]
 	spec := j.Steps[step]
-	n := float64(spec.Tasks)
-	share := 0.0
-	if capacity.Cores > 0 {
-		share = max(share, n*float64(spec.Reservation().Cores)/float64(capacity.Cores))
-	}
-	if capacity.Memory > 0 {
-		share = max(share, n*float64(spec.Need.Memory)/float64(capacity.Memory))
-	}
-	if capacity.Accelerators > 0 {
-		share = max(share, n*float64(spec.Need.Accelerators)/float64(capacity.Accelerators))
-	}
+	share := float64(spec.Tasks) * dominantShare(spec.Reservation(), p.serviceCapacities[j.Service])
 	return max(1, int(math.Ceil(share/concurrentShare)))
 }
 
