internal/process/allocation: decide faster on many workers

Cause (profile of BenchmarkDecideWithEvictions on 256 workers): for each waiting gang, all expected ends were sorted again and all members packed again after each of them, the runs of every worker were turned into victims and sorted again, and each victim looked through all hosts for its own. Change: expected ends and victims are computed once a decision; after an end only its host is examined; hosts are found by life.

--- a/internal/process/allocation/bench_test.go
+++ b/internal/process/allocation/bench_test.go
@@ -29,9 +29,9 @@
 // BenchmarkDecideWithEvictions measures one decision that must select victims, because all
 // workers are full while urgent gangs wait.
 func BenchmarkDecideWithEvictions(b *testing.B) {
-	for _, workers := range []int{12, 64, 256} {
-		b.Run(fmt.Sprint(workers, " workers"), func(b *testing.B) {
-			f := newBusyFixture(b, workers, workers/4)
+	for _, size := range []struct{ workers, gangs int }{{12, 3}, {64, 16}, {256, 64}, {300, 16}} {
+		b.Run(fmt.Sprintf("%d workers, %d gangs", size.workers, size.gangs), func(b *testing.B) {
+			f := newBusyFixture(b, size.workers, size.gangs)
 			b.ReportAllocs()
 			for b.Loop() {
 				f.history.Update(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -67,10 +67,11 @@
 // plan is the state of one round of decisions.
 type plan struct {
 	Input
-	// hosts are the workers that can take tasks, sorted by life. racks has the same hosts by
-	// service and rack.
-	hosts []*host
-	racks map[rackKey][]*host
+	// hosts are the workers that can take tasks, sorted by life. hostsByLife has the same hosts by
+	// life, racks by service and rack.
+	hosts       []*host
+	hostsByLife map[workload.LifeID]*host
+	racks       map[rackKey][]*host
 	// stopping holds the tasks whose run is being stopped, by this round or an earlier one.
 	stopping map[workload.TaskRef]bool
 	// withinGuarantee holds the organisations whose open priority-0 jobs need no more
@@ -80,7 +81,10 @@
 	serviceCapacities map[bundle.ServiceName]workload.Resources
 	// forecasts has the open occurrences that may start and have an objective.
 	forecasts map[occurrenceKey]*forecast
-	decision  Decision
+	// ends and victims are caches of expectedEnds and runsByLoss; nil until their first use.
+	ends     []expectedEnd
+	victims  map[*host][]*victim
+	decision Decision
 }
 
 // tryPlace places the unit and returns true if the unit fits now. Otherwise it returns false,
--- a/internal/process/allocation/evict.go
+++ b/internal/process/allocation/evict.go
@@ -10,7 +10,7 @@
 // the hosts on which the unit starts once these runs have ended.
 type eviction struct {
 	assignments []assignment
-	victims     []victim
+	victims     []*victim
 	cost        float64
 }
 
@@ -40,19 +40,17 @@
 	// their sum.
 	maxMembers   map[*host]int
 	totalMembers int
-	// candidates are the runs on each host that the unit may preempt, the cheapest first.
-	candidates map[*host][]victim
 	// victimSets caches the result of findVictims for each host; nil if there are no victims to
 	// select. A host without an entry must be searched again.
 	victimSets map[*host]*victimSet
 	// isSelected holds the keys of the selected victims.
 	isSelected map[workload.TaskRef]bool
-	selected   []victim
+	selected   []*victim
 }
 
 // victimSet is a set of runs on one host that may be stopped together, and its total cost.
 type victimSet struct {
-	victims []victim
+	victims []*victim
 	cost    float64
 }
 
@@ -60,14 +58,11 @@
 // it finds no such selection.
 func (p *plan) findEviction(u *unit, hosts []*host) *eviction {
 	s := &victimSearch{
-		plan: p, unit: u, hosts: hosts, capacities: map[*host]workload.Resources{}, maxMembers: map[*host]int{},
-		candidates: map[*host][]victim{}, victimSets: map[*host]*victimSet{}, isSelected: map[workload.TaskRef]bool{},
+		plan: p, unit: u, hosts: hosts, capacities: make(map[*host]workload.Resources, len(hosts)), maxMembers: make(map[*host]int, len(hosts)),
+		victimSets: map[*host]*victimSet{}, isSelected: map[workload.TaskRef]bool{},
 	}
 	for _, h := range hosts {
 		s.setCapacity(h, h.afterStops)
-		if h.maxMembers(u, capacityWhenEmpty) > 0 {
-			s.candidates[h] = p.candidates(u, h)
-		}
 	}
 	for s.totalMembers < len(u.members) {
 		best := s.cheapestVictims()
@@ -123,9 +118,13 @@
 	fits := func(r workload.Resources) bool {
 		return h.maxMembers(s.unit, func(*host) workload.Resources { return r }) >= wantedMembers
 	}
-	var taken []victim
-	for _, v := range s.candidates[h] {
-		if s.exceedsBudget(v, taken) || s.isSelected[v.key()] || slices.ContainsFunc(taken, func(t victim) bool { return t.key() == v.key() }) {
+	if h.maxMembers(s.unit, capacityWhenEmpty) < wantedMembers {
+		return nil
+	}
+	var taken []*victim
+	for _, v := range s.runsByLoss(h) {
+		if !s.mayStop(s.unit, v) || s.isSelected[v.key()] || s.exceedsBudget(v, taken) ||
+			slices.ContainsFunc(taken, func(t *victim) bool { return t.key() == v.key() }) {
 			continue
 		}
 		taken = append(taken, v)
@@ -151,21 +150,24 @@
 
 // exceedsBudget reports whether stopping v in addition to the victims in s.selected and taken
 // would exceed the disruption budget of v's step.
-func (s *victimSearch) exceedsBudget(v victim, taken []victim) bool {
-	if v.budget < 0 {
+func (s *victimSearch) exceedsBudget(v *victim, taken []*victim) bool {
+	budget := s.disruptionBudget(v)
+	if budget < 0 {
 		return false
 	}
 	stopping := 0
-	for _, other := range append(slices.Clone(s.selected), taken...) {
-		if other.step == v.step {
-			stopping++
+	for _, victims := range [][]*victim{s.selected, taken} {
+		for _, other := range victims {
+			if other.step == v.step {
+				stopping++
+			}
 		}
 	}
-	return stopping >= v.budget
+	return stopping >= budget
 }
 
 // freedCapacity returns the capacity that becomes free on h when v ends.
-func (s *victimSearch) freedCapacity(v victim, h *host) workload.Resources {
+func (s *victimSearch) freedCapacity(v *victim, h *host) workload.Resources {
 	var capacity workload.Resources
 	for _, r := range v.members {
 		if _, runsHere := h.worker.Runs[r]; runsHere {
@@ -176,27 +178,26 @@
 }
 
 // hostsOf returns the hosts of the search on which v has members.
-func (s *victimSearch) hostsOf(v victim) []*host {
+func (s *victimSearch) hostsOf(v *victim) []*host {
 	var found []*host
-	for _, h := range s.hosts {
-		for _, r := range v.members {
-			if _, runsHere := h.worker.Runs[r]; runsHere {
-				found = append(found, h)
-				break
-			}
+	for _, r := range v.members {
+		_, _, t, _ := s.State.Task(r)
+		h := s.hostsByLife[t.Worker]
+		if _, searched := s.capacities[h]; searched && !slices.Contains(found, h) {
+			found = append(found, h)
 		}
 	}
 	return found
 }
 
 // add selects v and adds the capacity that it frees to its hosts.
-func (s *victimSearch) add(v victim) {
+func (s *victimSearch) add(v *victim) {
 	s.isSelected[v.key()] = true
 	s.selected = append(s.selected, v)
 	for _, h := range s.hostsOf(v) {
 		s.setCapacity(h, s.capacities[h].Plus(s.freedCapacity(v, h)))
 	}
-	if v.budget >= 0 {
+	if s.disruptionBudget(v) >= 0 {
 		// Cached sets may include other runs of v's step, for which the remaining disruption
 		// budget is now smaller.
 		clear(s.victimSets)
@@ -207,7 +208,7 @@
 // first. There are such victims if a gang that was selected later also frees capacity on hosts
 // where victims had been selected before.
 func (s *victimSearch) dropUnneeded() {
-	slices.SortStableFunc(s.selected, func(a, b victim) int {
+	slices.SortStableFunc(s.selected, func(a, b *victim) int {
 		switch {
 		case a.lostWork > b.lostWork:
 			return -1
@@ -216,7 +217,7 @@
 		}
 		return a.task.Compare(b.task)
 	})
-	s.selected = slices.DeleteFunc(s.selected, func(v victim) bool {
+	s.selected = slices.DeleteFunc(s.selected, func(v *victim) bool {
 		hosts := s.hostsOf(v)
 		for _, h := range hosts {
 			s.setCapacity(h, s.capacities[h].Minus(s.freedCapacity(v, h)))
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -43,6 +43,7 @@
 func newPlan(in Input) *plan {
 	p := &plan{
 		Input:             in,
+		hostsByLife:       map[workload.LifeID]*host{},
 		racks:             map[rackKey][]*host{},
 		stopping:          map[workload.TaskRef]bool{},
 		withinGuarantee:   organisationsWithinGuarantee(in.State, in.Bundle),
@@ -54,6 +55,7 @@
 		}
 		if h := p.newHost(w); h != nil {
 			p.hosts = append(p.hosts, h)
+			p.hostsByLife[w.Life] = h
 		}
 	}
 	slices.SortFunc(p.hosts, func(a, b *host) int { return cmp.Compare(a.worker.Life, b.worker.Life) })
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -18,12 +18,13 @@
 	run  workload.Run
 	// lostWork is the work in core-seconds that stopping the run loses.
 	lostWork float64
-	// step is the victim's step. budget is how many more tasks of that step decisions may stop;
-	// negative if unlimited.
-	step   workload.StepRef
-	budget int
+	// step is the victim's step.
+	step workload.StepRef
 	// longRunning is true for a run whose work does not count towards an end.
 	longRunning bool
+	// tier and priority are those of the victim's job.
+	tier     tier
+	priority int
 	// members are the tasks that end when the run is stopped: its own task, or the whole gang.
 	members []workload.TaskRef
 }
@@ -80,28 +81,37 @@
 	return [][]*host{p.hosts}
 }
 
-// candidates returns the runs on the host that the unit may preempt, the cheapest first.
-func (p *plan) candidates(u *unit, h *host) []victim {
-	var found []victim
+// mayStop reports whether the unit may preempt the run.
+func (p *plan) mayStop(u *unit, v *victim) bool {
+	return !p.stopping[v.task] && v.tier > u.rank.tier && (v.priority > 0 || u.rank.tier == tierGuaranteed)
+}
+
+// runsByLoss returns the runs on the host that were not being stopped when it was first called, the
+// cheapest first.
+func (p *plan) runsByLoss(h *host) []*victim {
+	if found, known := p.victims[h]; known {
+		return found
+	}
+	var found []*victim
 	for r, run := range h.worker.Runs {
 		j, _, t, known := p.State.Task(r)
-		if !known || t.Phase != workload.PhaseRunning || p.stopping[r] || p.tierOf(j) <= u.rank.tier {
-			continue
-		}
-		if j.Priority == 0 && u.rank.tier != tierGuaranteed {
-			continue
+		if known && t.Phase == workload.PhaseRunning && !p.stopping[r] {
+			found = append(found, p.newVictim(j, r, run))
 		}
-		found = append(found, p.newVictim(j, r, run))
 	}
-	slices.SortFunc(found, func(a, b victim) int {
+	slices.SortFunc(found, func(a, b *victim) int {
 		return cmp.Or(cmp.Compare(a.lostWork, b.lostWork), a.task.Compare(b.task))
 	})
+	if p.victims == nil {
+		p.victims = map[*host][]*victim{}
+	}
+	p.victims[h] = found
 	return found
 }
 
-// newVictim returns a run as a victim. Its lost work is its run time so far plus
-// restartCost; for a checkpointing task it is restartCost only.
-func (p *plan) newVictim(j *workload.Job, r workload.TaskRef, run workload.Run) victim {
+// newVictim returns a run as a victim. Its lost work is its run time so far
+// plus restartCost; for a checkpointing task it is restartCost only.
+func (p *plan) newVictim(j *workload.Job, r workload.TaskRef, run workload.Run) *victim {
 	spec := j.Steps[r.Step]
 	lostTime := p.History.Elapsed(r, p.Now)
 	if spec.Checkpointing {
@@ -111,8 +121,8 @@
 	if spec.Gang {
 		members = membersOf(j, r, &j.Occurrences[r.Occurrence].Steps[r.Step])
 	}
-	return victim{
-		task: r, run: run, members: members, step: r.StepRef(), budget: p.disruptionBudget(j, r), longRunning: spec.LongRunning,
+	return &victim{
+		task: r, run: run, members: members, step: r.StepRef(), longRunning: spec.LongRunning, tier: p.tierOf(j), priority: j.Priority,
 		lostWork: coreSeconds(spec.Need, lostTime+restartCost) * float64(len(members)),
 	}
 }
@@ -121,11 +131,16 @@
 // ready.
 const longRunningStartup = 3 * time.Second
 
-// disruptionBudget returns how many more tasks of the step decisions may stop: the step's
+// disruptionBudget returns how many more tasks of the victim's step decisions may stop: the step's
 // MayMiss less the tasks that are not ready now. It is negative if unlimited.
-func (p *plan) disruptionBudget(j *workload.Job, r workload.TaskRef) int {
+func (p *plan) disruptionBudget(v *victim) int {
+	if !v.longRunning {
+		return -1
+	}
+	r := v.task
+	j := p.State.Job(r.Job)
 	spec := j.Steps[r.Step]
-	if !spec.LongRunning || spec.MayMiss == 0 {
+	if spec.MayMiss == 0 {
 		return -1
 	}
 	unavailable := 0
@@ -155,11 +170,9 @@
 	j, step, _, _ := p.State.Task(task)
 	for _, r := range membersOf(j, task, step) {
 		p.stopping[r] = true
-		w := step.Tasks[r.Index].Worker
-		for _, h := range p.hosts {
-			if h.worker.Life == w && step.Tasks[r.Index].Phase == workload.PhaseRunning {
-				h.afterStops = h.afterStops.Plus(p.reservation(r))
-			}
+		t := step.Tasks[r.Index]
+		if h := p.hostsByLife[t.Worker]; h != nil && t.Phase == workload.PhaseRunning {
+			h.afterStops = h.afterStops.Plus(p.reservation(r))
 		}
 	}
 }
--- a/internal/process/allocation/reserve.go
+++ b/internal/process/allocation/reserve.go
@@ -42,34 +42,53 @@
 	}
 }
 
-// expectedEnd is the expected end of a run: its host, the reservation that becomes free, and the
-// time from now until then.
+// expectedEnd is the expected end of a run: its task, its host, the reservation that becomes free,
+// and the time from now until then.
 type expectedEnd struct {
+	task        workload.TaskRef
 	host        *host
 	reservation workload.Resources
 	after       time.Duration
 }
 
-// earliestStartOn does the same as earliestStart, on the given hosts only.
-func (p *plan) earliestStartOn(u *unit, hosts []*host) ([]assignment, time.Duration) {
-	capacities := map[*host]workload.Resources{}
-	var ends []expectedEnd
-	for _, h := range hosts {
-		capacities[h] = h.afterStops
+// expectedEnds returns the expected ends of the runs on all hosts, the earliest first. Runs that are
+// being stopped may be among them.
+func (p *plan) expectedEnds() []expectedEnd {
+	if p.ends != nil {
+		return p.ends
+	}
+	for _, h := range p.hosts {
 		for r := range h.worker.Runs {
-			if !p.stopping[r] {
-				ends = append(ends, expectedEnd{h, p.reservation(r), p.History.Remaining(p.State.Job(r.Job), r, p.Now)})
-			}
+			p.ends = append(p.ends, expectedEnd{r, h, p.reservation(r), p.History.Remaining(p.State.Job(r.Job), r, p.Now)})
 		}
 	}
-	slices.SortFunc(ends, func(a, b expectedEnd) int {
-		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.host.worker.Life, b.host.worker.Life))
+	slices.SortFunc(p.ends, func(a, b expectedEnd) int {
+		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.host.worker.Life, b.host.worker.Life), a.task.Compare(b.task))
 	})
+	return p.ends
+}
+
+// earliestStartOn does the same as earliestStart, on the given hosts only.
+func (p *plan) earliestStartOn(u *unit, hosts []*host) ([]assignment, time.Duration) {
+	capacities := make(map[*host]workload.Resources, len(hosts))
 	capacity := func(h *host) workload.Resources { return capacities[h] }
-	for _, e := range ends {
+	members := make(map[*host]int, len(hosts))
+	total := 0
+	for _, h := range hosts {
+		capacities[h] = h.afterStops
+		members[h] = h.maxMembers(u, capacity)
+		total += members[h]
+	}
+	for _, e := range p.expectedEnds() {
+		before, searched := members[e.host]
+		if !searched || p.stopping[e.task] {
+			continue
+		}
 		capacities[e.host] = capacities[e.host].Plus(e.reservation)
-		if assignments := pack(u, hosts, capacity); assignments != nil {
-			return assignments, e.after
+		members[e.host] = e.host.maxMembers(u, capacity)
+		total += members[e.host] - before
+		if total >= len(u.members) {
+			return pack(u, hosts, capacity), e.after
 		}
 	}
 	return nil, 0
