--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -40,12 +40,15 @@
 type Decision struct {
 	Places []workload.Place
 	Stops  []workload.Stop
+	// Delays are the open occurrences that are not expected to end within their objectives, in the
+	// order of their jobs.
+	Delays []Delay
 	// PermitQueries are the queries to the adviser whose answers may allow more placements, the
 	// most urgent first.
 	PermitQueries []permit.Query
 }
 
-// Empty reports whether there is nothing to propose. It ignores PermitQueries.
+// Empty reports whether there is nothing to propose. It ignores Delays and PermitQueries.
 func (d Decision) Empty() bool { return len(d.Places)+len(d.Stops) == 0 }
 
 // Decide returns the runs to start and to stop now. It places the waiting units in order of
--- a/internal/process/allocation/overload.go
+++ b/internal/process/allocation/overload.go
@@ -74,6 +74,22 @@
 	return f.remainingBenefit() / max(f.work, math.SmallestNonzeroFloat32)
 }
 
+// Delay is a forecast that an occurrence ends late, with the inputs of the forecast.
+type Delay struct {
+	Job        workload.JobID
+	Occurrence int
+	// Missed is true if the occurrence is not expected to yield any benefit. It then waits for all
+	// occurrences that are.
+	Missed bool
+	// DueIn and LastDueIn are the times from now until the occurrence is late and until it yields
+	// no benefit, negative if they have passed.
+	DueIn, LastDueIn time.Duration
+	// TimeLeft is the time that the occurrence takes at least.
+	TimeLeft time.Duration
+	// Work is the work that is left: a share of its service's capacity, in seconds.
+	Work float64
+}
+
 // forecastAll sets p.forecasts to the forecasts of the open occurrences that may start. There is
 // none for occurrences without an objective or with long-running tasks.
 //
@@ -97,6 +113,22 @@
 	}
 	for _, forecasts := range byService {
 		setOutlooks(forecasts)
+		p.addDelays(forecasts)
+	}
+	slices.SortFunc(p.decision.Delays, func(a, b Delay) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence))
+	})
+}
+
+// addDelays adds the occurrences to the decision's Delays that are not expected to end in time.
+func (p *plan) addDelays(forecasts []*forecast) {
+	for _, f := range forecasts {
+		if f.outlook != outlookOnTime {
+			p.decision.Delays = append(p.decision.Delays, Delay{
+				Job: f.first.Job, Occurrence: f.first.Occurrence, Missed: f.outlook == outlookMissed,
+				DueIn: f.deadline, LastDueIn: f.lateDeadline, TimeLeft: f.timeToEnd, Work: f.work,
+			})
+		}
 	}
 }
 
--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -53,6 +53,16 @@
 	journals map[incarnation.Address]*journal.Journal[workload.Record]
 	entries  []*testEntry
 	agents   []*testAgent
+	// logger receives the log lines of all processes; nil stands for testLogger.
+	logger hclog.Logger
+}
+
+// loggerOf returns the logger of the process with the name.
+func (in *installation) loggerOf(name string) hclog.Logger {
+	if in.logger != nil {
+		return in.logger.Named(name)
+	}
+	return testLogger(name)
 }
 
 // withInstallation runs a test with an installation of one entry in virtual time.
@@ -180,7 +190,7 @@
 	register.Adopt(1, testBundle())
 	listener := presence.NewListener(&in.presence, in.clock)
 	var sch *scheduler.Scheduler
-	e.permits = permit.New(&in.adviser, in.clock, testLogger(name))
+	e.permits = permit.New(&in.adviser, in.clock, in.loggerOf(name))
 	e.journal = journal.New(e.log, "Workload", self, journal.StateMachine[workload.Record](e.state), journal.Options{
 		Clock: in.clock, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond,
 		MaySnapshot: func() bool { return sch.Leads() },
@@ -188,7 +198,7 @@
 	sch = scheduler.New(scheduler.Settings{
 		Allocation: allocation.Rules{FarFactor: 3}, SuspectAfter: 2500 * time.Millisecond,
 		LapseAfter: testLease + 500*time.Millisecond, Retention: time.Minute, Rank: len(in.entries),
-	}, self, e.journal, e.state, listener, register, e.permits, in.clock, testLogger(name), in.notify)
+	}, self, e.journal, e.state, listener, register, e.permits, in.clock, in.loggerOf(name), in.notify)
 	e.state.SetObserver(sch.Observe)
 	e.leads = sch.Leads
 	e.intake = intake.New(intake.Settings{MaxAcceptAge: 4 * time.Second, MaxRefuseAge: 2 * time.Second},
@@ -247,7 +257,7 @@
 	in.mu.Lock()
 	in.journals[incarnation.Address(a.machine)] = j
 	in.mu.Unlock()
-	a.runner = runner.New(runner.Settings{Lease: testLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, testLogger(string(a.machine)), metrics.NewSet())
+	a.runner = runner.New(runner.Settings{Lease: testLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
 	a.stopped = false
 	a.stop = in.startAll(j.Start, a.runner.Start, a.reportMinion)
 }
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -119,6 +119,10 @@
 	overdueRecordCount uint64
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
+	// delays are those of the last decision; loggedDelays has what was last logged of each
+	// occurrence that is still delayed.
+	delays       []allocation.Delay
+	loggedDelays map[delayKey]loggedDelay
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -215,6 +219,7 @@
 	})
 	switch {
 	case leader == s.self:
+		s.logDelays()
 		s.permits.SetQueries(queries)
 		s.proposeAsLeader(ctx, term, due, queries)
 	case len(due) > 0:
