--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -47,9 +47,6 @@
 	lastAnswerAt time.Duration
 	// failedPolls counts the polls that failed since the last successful one.
 	failedPolls int
-	// unreachable is true from an order that was not sent until the next successful poll: the
-	// minion has no listener, as after a crash.
-	unreachable bool
 	// pollPending is set while a poll sent by pollNow has no answer yet.
 	pollPending bool
 	runs        map[workload.TaskRef]*runState
@@ -196,7 +193,6 @@
 	if err != nil {
 		if l := r.life; l != nil && l.minion == order.ID {
 			l.failedPolls++
-			l.unreachable = l.unreachable || errors.Is(err, ErrNotSent)
 		}
 		r.logger.Debug("minion poll failed", "minion", order.ID, "error", err)
 		return
@@ -241,7 +237,6 @@
 func (l *minionLife) update(order Poll, status Status, sentAt, receivedAt time.Duration) {
 	l.lastAnswerAt = max(l.lastAnswerAt, receivedAt)
 	l.failedPolls = 0
-	l.unreachable = false
 	if sentAt < l.statusSentAt {
 		return
 	}
