--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -33,8 +33,8 @@
 func (v victim) key() workload.TaskRef { return v.members[0] }
 
 // maxLossFactor is the most work that a unit outside its organisation's guarantee may make others
-// lose, as a multiple of its own work. The victims
-// need the lost time again, so that beyond it a preemption delays more work than it brings forward.
+// lose, as a multiple of its own work. The victims need the lost time again, so that beyond it a
+// preemption delays more work than it brings forward.
 const maxLossFactor = 2
 
 // preempt stops runs so that the unit fits, on the set of hosts where this loses the least work.
@@ -109,8 +109,8 @@
 	return found
 }
 
-// newVictim returns a run as a victim. Its lost work is its run time so far
-// plus restartCost; for a checkpointing task it is restartCost only.
+// newVictim returns a run as a victim. Its lost work is its run time so far plus
+// restartCost; for a checkpointing task it is restartCost only.
 func (p *plan) newVictim(j *workload.Job, r workload.TaskRef, run workload.Run) *victim {
 	spec := j.Steps[r.Step]
 	lostTime := p.History.Elapsed(r, p.Now)
--- a/internal/process/membership/membership.go
+++ b/internal/process/membership/membership.go
@@ -122,7 +122,7 @@
 			continue
 		}
 		current := memberState{Heartbeat: h, sentAt: now.Add(-h.Age), deadAt: previous.deadAt}
-		if found && !current.sentAt.After(later(previous.sentAt, previous.deadAt)) {
+		if found && !previous.isOutdatedBy(current.sentAt) {
 			current.sentAt = previous.sentAt
 		}
 		d.members[h.ID] = current
@@ -133,12 +133,10 @@
 	}
 }
 
-// later returns the later one of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+// isOutdatedBy reports whether a heartbeat that was sent at the time is newer than what is
+// recorded, MarkDead included.
+func (m memberState) isOutdatedBy(sentAt time.Time) bool {
+	return sentAt.After(m.sentAt) && sentAt.After(m.deadAt)
 }
 
 // Touch records a heartbeat that was sent the given age ago and contains only the bundle in
@@ -152,7 +150,7 @@
 		return false
 	}
 	sentAt := now.Add(-age)
-	if !sentAt.After(later(m.sentAt, m.deadAt)) {
+	if !m.isOutdatedBy(sentAt) {
 		return true
 	}
 	changed := !d.isAlive(m, now) || v > m.Version
