internal/process/runner: confirm the minion's life before ends count as seen, await leases of other lives

Cause: a minion restarts under its ID. Orders that the agent sends before it notices reach the new life. (2) A lease on the clock of the earlier life, which was ahead, lasted longer in the new life than the agent assumed. The same holds for leases of an earlier agent. Ruled out: that the stand-in invents the case (its polls survived a restart, which is mended too; both faults stay without that). Change: ends count as seen only in polls after one that the life has answered since the newest start. The agent waits for the longest lease that a minion accepts, counted from the first answer to its own token or from the last order with a lease.

--- a/internal/process/command/platform.go
+++ b/internal/process/command/platform.go
@@ -229,7 +229,7 @@
 }
 
 func provideRunnerSettings(s adapter.Settings) runner.Settings {
-	return runner.Settings{FailureDomain: s.FailureDomain, Address: link.Address(s.LinkAddress), Lease: leaseDuration(s)}
+	return runner.Settings{FailureDomain: s.FailureDomain, Address: link.Address(s.LinkAddress), Lease: leaseDuration(s), MaxLease: s.Bounds.MaxLeaseDuration}
 }
 
 func provideNotify(pool *link.Pool) scheduler.Notify {
--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -30,8 +30,12 @@
 	// clockReadAt is when the status arrived: by then the minion's clock had reached
 	// status.Clock.
 	clockReadAt time.Duration
-	// latestLeaseEnd is the latest end among all leases that were sent to the life.
+	// latestLeaseEnd is the latest end among all leases that the life may hold.
 	latestLeaseEnd time.Duration
+	// firstToken is the token of the first poll of this life. Once fenced is set, the minion has
+	// received it, and refuses the orders of earlier agents and those meant for earlier lives.
+	firstToken Token
+	fenced     bool
 	// announced is set once the workload has recorded the life. Before that, the only
 	// orders to the minion are polls and stops of stray runs.
 	announced       bool
@@ -47,6 +51,9 @@
 	lastAnswerAt time.Duration
 	// failedPolls counts the polls that failed since the last successful one.
 	failedPolls int
+	// startSentAt is when the newest start was sent, leaseSentAt when the newest order with a lease
+	// was.
+	startSentAt, leaseSentAt time.Duration
 	// pollPending is set while a poll sent by pollNow has no answer yet.
 	pollPending bool
 	runs        map[workload.TaskRef]*runState
@@ -146,7 +153,7 @@
 	l := r.life
 	v := r.view()
 	order := Poll{ID: l.minion, Token: r.token(), Wait: wait}
-	if v.known {
+	if v.known && l.isConfirmed() {
 		order.SeenEnds = v.seenEnds
 	}
 	// A renewal whose poll got no answer may still take effect later. No further renewal is
@@ -154,7 +161,7 @@
 	if len(v.runs) > 0 && l.failedPolls == 0 {
 		if lease, leaseEnd, ok := r.nextLease(v); ok {
 			order.Lease = lease
-			l.latestLeaseEnd = max(l.latestLeaseEnd, leaseEnd)
+			l.addLease(leaseEnd, r.clock())
 		}
 	}
 	if v.hasFillersBesideLatencySensitive() {
@@ -166,6 +173,13 @@
 	return order
 }
 
+// isConfirmed reports whether the newest poll was answered by this life and no start was sent since.
+// Otherwise the minion may have begun another life unnoticed, with runs and ends of its own. A poll
+// that reported ends of this life as seen would make it forget those.
+func (l *minionLife) isConfirmed() bool {
+	return l.failedPolls == 0 && l.statusSentAt >= l.startSentAt
+}
+
 // hasUnrecordedEnds reports whether the status lists ends that the workload has not
 // recorded. The minion answers a poll immediately while it has such ends.
 func (l *minionLife) hasUnrecordedEnds(v view) bool {
@@ -193,6 +207,10 @@
 	if err != nil {
 		if l := r.life; l != nil && l.minion == order.ID {
 			l.failedPolls++
+			if order.SeenEnds > 0 && order.Token == r.token() {
+				// The poll may still take effect in a later life, unless that has seen a newer token.
+				r.fence()
+			}
 		}
 		r.logger.Debug("minion poll failed", "minion", order.ID, "error", err)
 		return
@@ -212,6 +230,7 @@
 		return
 	}
 	r.life.update(order, status, sentAt, receivedAt)
+	r.life.fence(order, receivedAt, r.settings.MaxLease)
 }
 
 func (r *Runner) dropCandidate(id MinionID) {
@@ -226,7 +245,7 @@
 	r.fence()
 	r.candidate = nil
 	r.life = &minionLife{
-		id: LifeID(a.ID, born), minion: a.ID, born: born, announcement: a, draining: a.Draining,
+		id: LifeID(a.ID, born), minion: a.ID, born: born, announcement: a, draining: a.Draining, firstToken: r.token(),
 		runs: map[workload.TaskRef]*runState{}, strayStoppedAt: map[workload.TaskRef]time.Duration{},
 		reportedCheckpoints: map[workload.TaskRef]workload.Checkpoint{}, lastAnswerAt: r.clock(),
 	}
@@ -245,6 +264,37 @@
 	l.updateProgress(receivedAt)
 }
 
+// fence sets fenced once the minion has answered a poll of this life. Until then it may have accepted
+// a lease from an order that an earlier agent sent, or that was meant for an earlier life, whose
+// clock was ahead. Such a lease ends at most maxLease after the answer.
+func (l *minionLife) fence(order Poll, receivedAt, maxLease time.Duration) {
+	if l.fenced || order.Token < l.firstToken {
+		return
+	}
+	l.fenced = true
+	l.latestLeaseEnd = max(l.latestLeaseEnd, receivedAt+slowest(maxLease))
+}
+
+// slowest returns how long the duration may last on the minion's clock.
+func slowest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + maxClockSlowdown))
+}
+
+// addLease records that an order with a lease until leaseEnd is being sent now.
+func (l *minionLife) addLease(leaseEnd, now time.Duration) {
+	l.latestLeaseEnd = max(l.latestLeaseEnd, leaseEnd)
+	l.leaseSentAt = now
+}
+
+// leasesEndBy returns the time by which all leases have expired. If a start was sent that no poll has
+// confirmed, another life may have accepted it unnoticed, with a lease on the clock of this one.
+func (l *minionLife) leasesEndBy(maxLease time.Duration) time.Duration {
+	if l.statusSentAt >= l.startSentAt {
+		return l.latestLeaseEnd
+	}
+	return max(l.latestLeaseEnd, l.leaseSentAt+callTimeout+slowest(maxLease))
+}
+
 // nextLease returns the end of the lease that may be granted now, first on the minion's
 // clock and then on the runner's, and false if no lease may be granted.
 func (r *Runner) nextLease(v view) (MinionClock, time.Duration, bool) {
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -218,7 +218,7 @@
 // expired, which means that its runs have ended. It reports whether the minion is
 // unresponsive and its leases have expired.
 func (r *Runner) departAfterLapse(l *minionLife, v view) bool {
-	if r.clock()-l.lastAnswerAt <= unresponsiveAfter || r.clock() <= l.latestLeaseEnd+leaseMargin {
+	if r.clock()-l.lastAnswerAt <= unresponsiveAfter || r.clock() <= l.leasesEndBy(r.settings.MaxLease)+leaseMargin {
 		return false
 	}
 	if !l.departPending && len(v.runs) > 0 {
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -175,13 +175,14 @@
 	if !ok {
 		return
 	}
-	l.latestLeaseEnd = max(l.latestLeaseEnd, leaseEnd)
+	l.addLease(leaseEnd, r.clock())
 	run.phase = phaseStarting
 	order := Start{
 		ID: l.minion, Task: ref, Run: run.number, Payload: a.payload, Resume: a.resume, Lease: lease, Token: r.token(),
 		Permit: a.permit,
 	}
 	sentAt := r.clock()
+	l.startSentAt = sentAt
 	r.async(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -65,6 +65,8 @@
 	// Lease is how long runs may continue after the last time at which the runner's copy
 	// of the workload was known to be complete.
 	Lease time.Duration
+	// MaxLease is the longest lease that a minion accepts. The minion shortens longer ones.
+	MaxLease time.Duration
 }
 
 // Runner sends orders to one minion and records its runs. Use New. Its exported methods
--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -29,6 +29,7 @@
 
 const (
 	testLease        = 6 * time.Second
+	testMaxLease     = 8 * time.Second
 	agentReadPause   = 500 * time.Millisecond
 	reportInterval   = 1500 * time.Millisecond
 	testQueue        = "queue"
@@ -234,7 +235,7 @@
 		ID: runner.MinionID(fmt.Sprint("minion", n)), Capacity: capacity,
 		Need:        func(r workload.TaskRef) workload.Resources { return in.reservationOf(r.Job) },
 		RunDuration: func(workload.TaskRef, workload.Run) time.Duration { return in.taskDuration() }, StopTime: 200 * time.Millisecond,
-		OnViolation: func(text string) { in.t.Errorf("minion broke a rule after %v: %s", in.clock(), text) }, RunLog: &in.runLog,
+		OnViolation: func(text string) { in.t.Errorf("minion broke a rule after %v: %s", in.clock(), text) }, RunLog: &in.runLog, MaxLease: testMaxLease,
 		Permitted: func(o runner.Start) bool { return in.adviser.acceptsStart(a.minion, o) },
 	}
 	a.minion.StartLife()
@@ -257,7 +258,7 @@
 	in.mu.Lock()
 	in.journals[incarnation.Address(a.machine)] = j
 	in.mu.Unlock()
-	a.runner = runner.New(runner.Settings{Lease: testLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
+	a.runner = runner.New(runner.Settings{Lease: testLease, MaxLease: testMaxLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
 	a.stopped = false
 	a.stop = in.startAll(j.Start, a.runner.Start, a.reportMinion)
 }
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -208,6 +208,58 @@
 	})
 }
 
+// A minion restarts under its ID, and its agent starts a task there before it learns of the new life.
+// The task ends before the next poll, with a number that the earlier life has used too. That poll
+// must not report the end as seen: nobody has recorded it, and the task would run again.
+func TestEndInUnnoticedLifeIsRecorded(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addWorker(workerCapacity())
+		a.readsWithoutPause.Store(true)
+		time.Sleep(4 * time.Second)
+		in.setDuration(10 * time.Millisecond)
+		in.submit(spec("earlier", 4, smallTask()))
+		in.await("earlier", workload.OutcomeCompleted, 5*time.Second)
+		time.Sleep(time.Second)
+		in.submit(spec("job", 1, smallTask()))
+		a.minion.StartLife()
+		in.await("job", workload.OutcomeCompleted, 12*time.Second)
+		if starts, _ := in.runLog.Counts(workload.TaskRef{Job: "job"}); starts != 1 {
+			t.Errorf("got %d starts of the task, want 1", starts)
+		}
+	})
+}
+
+// A minion restarts under its ID, and an order meant for its earlier life gives the new life a lease
+// on the clock of the earlier one, which was ahead. When the minion stops answering, its tasks must
+// not start elsewhere before that lease has expired, whether the agent knows the new life or not.
+func TestLeaseOfEarlierLifeIsAwaited(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		t.Run(fmt.Sprintf("known=%v", known), func(t *testing.T) { testLeaseOfEarlierLife(t, known) })
+	}
+}
+
+func testLeaseOfEarlierLife(t *testing.T, known bool) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addWorker(workerCapacity())
+		a.readsWithoutPause.Store(true)
+		in.setDuration(20 * time.Second)
+		time.Sleep(15 * time.Second)
+		in.submit(spec("job", 1, smallTask()))
+		a.minion.StartLife()
+		starts := 1
+		if known {
+			// The new life repeats the task once it is announced.
+			starts = 2
+		}
+		for in.runLog.Starts() < starts {
+			time.Sleep(time.Millisecond)
+		}
+		a.minion.SetUnresponsive(true, false)
+		in.addWorker(workerCapacity())
+		in.await("job", workload.OutcomeCompleted, 60*time.Second)
+	})
+}
+
 // isPresent reports whether the first entry knows the life and it is not gone.
 func (in *installation) isPresent(life workload.LifeID) (present bool) {
 	e := in.entries[0]
@@ -224,8 +276,17 @@
 	for seed := range soakSeeds() {
 		synctest.Test(t, func(t *testing.T) { soak(t, seed) })
 	}
+	for _, seed := range failedSeeds {
+		synctest.Test(t, func(t *testing.T) { soak(t, seed) })
+	}
 }
 
+// failedSeeds are seeds that failed once.
+//
+//   - 186: a poll reported ends of an earlier life of the minion as seen to a later one.
+//   - 426: a life accepted a lease that was meant for an earlier one, and its runs were given up too early.
+var failedSeeds = []uint64{186, 426}
+
 // soakSeeds returns the number of seeds to run. The environment variable WORLD_SEEDS
 // overrides the default of 4.
 func soakSeeds() uint64 {
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -31,6 +31,9 @@
 	TailLatency func(ref workload.TaskRef, fillerPercent int) time.Duration
 	// IsFiller reports whether a task is a filler; nil means that none is.
 	IsFiller func(workload.TaskRef) bool
+	// MaxLease is the longest lease that the minion accepts; it shortens longer ones. 0 means that
+	// there is no limit.
+	MaxLease time.Duration
 	// StopTime is the time from an order to stop until the run ends.
 	StopTime time.Duration
 	// OnViolation is called with a description of each broken invariant.
@@ -167,9 +170,12 @@
 	})
 }
 
-// extendLease makes the lease expire at the given time on the minion's clock, unless it
-// expires later already. The lock must be held.
+// extendLease makes the lease expire at the given time on the minion's clock, or MaxLease from now
+// if that is earlier, unless it expires later already. The lock must be held.
 func (m *TaskMinion) extendLease(lease runner.MinionClock) {
+	if m.MaxLease > 0 {
+		lease = min(lease, m.clock()+runner.MinionClock(m.MaxLease.Milliseconds()))
+	}
 	if lease > m.leaseEnd {
 		m.leaseEnd = lease
 		m.advanceAt(m.startedAt.Add(time.Duration(lease) * time.Millisecond))
@@ -328,10 +334,14 @@
 	return m.fillerPercent()
 }
 
-// Poll implements runner.Minion.
+// Poll implements runner.Minion. A new life breaks the polls that wait.
 func (m *TaskMinion) Poll(ctx context.Context, o runner.Poll) (runner.Status, error) {
 	deadline := time.Now().Add(o.Wait)
+	born := m.Born()
 	for {
+		if m.Born() != born {
+			return runner.Status{}, ErrUnresponsive
+		}
 		s, err := m.status(o)
 		if err != nil || len(s.Ended) > 0 || !time.Now().Before(deadline) {
 			return s, err
