--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -239,7 +239,7 @@
 }
 
 func testLeaseOfEarlierLife(t *testing.T, known bool) {
-	withInstallation(t, func(t *testing.T, in *installation) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
 		a := in.addWorker(workerCapacity())
 		a.readsWithoutPause.Store(true)
 		in.setDuration(20 * time.Second)
