internal/process/runner: refuse starts that were not sent, report the minion as unresponsive at once

A start to a crashed minion is certainly not sent (connection refused), but was treated as of unknown fate, so that its task or gang waited for the leases to lapse.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -54,6 +54,9 @@
 	// startSentAt is when the newest start was sent, leaseSentAt when the newest order with a lease
 	// was.
 	startSentAt, leaseSentAt time.Duration
+	// unreachable is true from an order that was not sent until the next successful poll: the
+	// minion has no listener, as after a crash.
+	unreachable bool
 	// pollPending is set while a poll sent by pollNow has no answer yet.
 	pollPending bool
 	runs        map[workload.TaskRef]*runState
@@ -211,6 +214,7 @@
 				// The poll may still take effect in a later life, unless that has seen a newer token.
 				r.fence()
 			}
+			l.unreachable = l.unreachable || errors.Is(err, ErrNotSent)
 		}
 		r.logger.Debug("minion poll failed", "minion", order.ID, "error", err)
 		return
@@ -256,6 +260,7 @@
 func (l *minionLife) update(order Poll, status Status, sentAt, receivedAt time.Duration) {
 	l.lastAnswerAt = max(l.lastAnswerAt, receivedAt)
 	l.failedPolls = 0
+	l.unreachable = false
 	if sentAt < l.statusSentAt {
 		return
 	}
--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"corianderpass/internal/process/workload"
 	"corianderpass/internal/version/bundle"
 	"corianderpass/pkg/platform"
@@ -95,7 +97,8 @@
 
 // Minion sends orders to the minion on the agent's machine. Implementations are safe
 // for concurrent use. A *RefusedError means that the minion did not carry the order
-// out; after any other error it may have done so, or may do so later.
+// out, ErrNotSent that it never got it; after any other error it may have carried it out,
+// or may do so later.
 type Minion interface {
 	Start(ctx context.Context, order Start) error
 	Stop(ctx context.Context, order Stop) error
@@ -103,6 +106,10 @@
 	Pace(ctx context.Context, order Pace) error
 }
 
+// ErrNotSent is returned for an order that was certainly not sent, since no connection to the
+// minion could be opened.
+var ErrNotSent = errors.New("runner: order was not sent")
+
 // Reason is why a minion refused an order.
 type Reason string
 
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -167,7 +167,7 @@
 			r.logger.Info("suspicion withdrawal proposed", "worker", l.id, "error", err)
 		})
 	}
-	unresponsive := r.clock()-l.lastAnswerAt > unresponsiveAfter
+	unresponsive := l.unreachable || r.clock()-l.lastAnswerAt > unresponsiveAfter
 	saved := r.dueCheckpoints(l, v)
 	changed := l.draining && !v.draining || unresponsive != v.unresponsive
 	var progress []workload.Progress
@@ -179,7 +179,7 @@
 	}
 	l.reportPending = true
 	if unresponsive != v.unresponsive {
-		r.logger.Warn("minion answers or not", "worker", l.id, "unresponsive", unresponsive, "silent_ms", (r.clock() - l.lastAnswerAt).Milliseconds())
+		r.logger.Warn("minion answers or not", "worker", l.id, "unresponsive", unresponsive, "unreachable", l.unreachable, "silent_ms", (r.clock() - l.lastAnswerAt).Milliseconds())
 	}
 	r.propose(workload.Record{Report: &workload.Report{
 		Life: l.id, Draining: l.draining, Remaining: l.announcement.Remaining, Unresponsive: unresponsive, Saved: saved,
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -83,6 +83,9 @@
 		r.refuse(l, ref, run, "stopped before its start")
 	case run.phase == phaseNew && l.draining:
 		r.refuse(l, ref, run, "minion drains")
+	case run.phase == phaseNew && l.unreachable && v.unresponsive:
+		// The leader knows that the worker takes no tasks, so it places the task elsewhere.
+		r.refuse(l, ref, run, "minion cannot be reached")
 	case run.phase == phaseNew && r.clock() >= run.notBefore:
 		r.start(l, v, ref, a, run)
 	case run.phase == phaseStarted && !a.wanted && r.clock()-run.stopSentAt > stopRetryAfter:
@@ -197,6 +200,9 @@
 	switch {
 	case err == nil:
 		run.phase, run.startedAt, run.fromBeginning = phaseStarted, r.clock(), order.Resume == ""
+	case errors.Is(err, ErrNotSent):
+		l.unreachable = true
+		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
 	case !errors.As(err, &refused):
 		r.markUnsettled(run)
 	case refused.Reason == ReasonFenced && order.Token < r.token(), refused.Reason == ReasonLeaseExpired:
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -75,6 +75,43 @@
 	})
 }
 
+// A minion crashes and its agent cannot report that before a task is placed there. The start is
+// certainly not sent, so the task must run on another worker as soon as the agent can record
+// something, not after the leases of the crashed minion have expired.
+func TestTaskPlacedOnCrashedMinionMovesAtOnce(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		agents := []*testAgent{in.addWorker(workerCapacity()), in.addWorker(workerCapacity()), in.addWorker(workerCapacity())}
+		time.Sleep(4 * time.Second)
+		s := spec("job", 2, workload.Resources{Cores: 1000, Memory: 1, Accelerators: 8})
+		in.setReservation(s)
+		agents[0].minion.Crash()
+		agents[0].log.SetReadOnly(true)
+		in.submit(s)
+		time.Sleep(600 * time.Millisecond)
+		if !in.hasRuns(agents[0]) {
+			t.Fatal("got no run on the crashed minion, want one that must move")
+		}
+		agents[0].log.SetReadOnly(false)
+		// A task takes 2 s, the leases testLease.
+		if took := in.await("job", workload.OutcomeCompleted, 15*time.Second); took > 4*time.Second {
+			t.Errorf("job took %v more, want at most 4s", took)
+		}
+		if n := in.runLog.Starts(); n != 2 {
+			t.Errorf("got %d starts of 2 tasks, want 2", n)
+		}
+	})
+}
+
+// hasRuns reports whether the workload of the first entry has runs on the agent's minion.
+func (in *installation) hasRuns(a *testAgent) (found bool) {
+	e := in.entries[0]
+	e.journal.View(func(time.Time) {
+		w := e.state.Worker(runner.LifeID(a.minion.ID, a.minion.Born()))
+		found = w != nil && len(w.Runs) > 0
+	})
+	return found
+}
+
 // A minion carries out starts seconds late and the answers are lost. If the agent did not
 // fence the first start with a new token before it retries, the run would start twice.
 func TestUnansweredStartsAreResolvedBeforeRetry(t *testing.T) {
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -46,6 +46,8 @@
 	startedAt time.Time
 	// unresponsive is true while every call fails with ErrUnresponsive.
 	unresponsive bool
+	// unreachable is true while no order reaches the minion.
+	unreachable bool
 	// delayedStarts is how many of the next calls of Start take effect late.
 	delayedStarts int
 	// token is the highest fencing token seen.
@@ -94,7 +96,7 @@
 	m.newestRun = map[workload.TaskRef]workload.Run{}
 	m.ended, m.endedAt = nil, map[uint64]time.Time{}
 	m.expiredAt = time.Time{}
-	m.unresponsive = false
+	m.unresponsive, m.unreachable = false, false
 }
 
 // SetUnresponsive sets whether calls to the minion fail. If crash is true, all its runs
@@ -110,6 +112,28 @@
 	}
 }
 
+// Crash ends all runs of the minion without a report. Until the next life, no order reaches it.
+func (m *TaskMinion) Crash() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.advance()
+	m.logEnds()
+	m.active = map[workload.TaskRef]*activeRun{}
+	m.unreachable = true
+}
+
+// callError returns the error of every call while the minion is unreachable or unresponsive,
+// otherwise nil. The lock must be held.
+func (m *TaskMinion) callError() error {
+	switch {
+	case m.unreachable:
+		return runner.ErrNotSent
+	case m.unresponsive:
+		return ErrUnresponsive
+	}
+	return nil
+}
+
 // DelayStarts makes the next n starts take effect 3 s late; their callers get no
 // answer.
 func (m *TaskMinion) DelayStarts(n int) {
@@ -209,7 +233,7 @@
 // Start implements runner.Minion.
 func (m *TaskMinion) Start(ctx context.Context, o runner.Start) error {
 	m.mu.Lock()
-	if m.delayedStarts > 0 && !m.unresponsive {
+	if m.delayedStarts > 0 && m.callError() == nil {
 		m.delayedStarts--
 		m.mu.Unlock()
 		time.AfterFunc(3*time.Second, func() {
@@ -221,8 +245,8 @@
 		return ErrUnresponsive
 	}
 	defer m.mu.Unlock()
-	if m.unresponsive {
-		return ErrUnresponsive
+	if err := m.callError(); err != nil {
+		return err
 	}
 	return m.start(o)
 }
@@ -276,8 +300,8 @@
 // checkOrder returns an error if the minion is unresponsive or has seen a higher token.
 // Otherwise it stores the token. The lock must be held.
 func (m *TaskMinion) checkOrder(token runner.Token) error {
-	if m.unresponsive {
-		return ErrUnresponsive
+	if err := m.callError(); err != nil {
+		return err
 	}
 	m.advance()
 	if token < m.token {
@@ -356,8 +380,8 @@
 func (m *TaskMinion) status(o runner.Poll) (runner.Status, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.unresponsive {
-		return runner.Status{}, ErrUnresponsive
+	if err := m.callError(); err != nil {
+		return runner.Status{}, err
 	}
 	m.advance()
 	if o.ID != m.ID {
