internal/process/scheduler: test the lease of an earlier life after the new one is confirmed

Without the wait from the first answer to its own token the agent gave the runs up 4 s early; the test passed before, since another guard covered the case.

--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -54,6 +54,8 @@
 	journals map[incarnation.Address]*journal.Journal[workload.Record]
 	entries  []*testEntry
 	agents   []*testAgent
+	// maxLease is the longest lease that minions added from now on accept.
+	maxLease time.Duration
 	// logger receives the log lines of all processes; nil stands for testLogger.
 	logger hclog.Logger
 }
@@ -81,6 +83,7 @@
 	return &installation{
 		t: t, startedAt: time.Now(), reservations: map[workload.JobID]workload.Resources{},
 		journals:     map[incarnation.Address]*journal.Journal[workload.Record]{},
+		maxLease:     testMaxLease,
 		nextDuration: func() time.Duration { return 2 * time.Second },
 	}
 }
@@ -235,7 +238,7 @@
 		ID: runner.MinionID(fmt.Sprint("minion", n)), Capacity: capacity,
 		Need:        func(r workload.TaskRef) workload.Resources { return in.reservationOf(r.Job) },
 		RunDuration: func(workload.TaskRef, workload.Run) time.Duration { return in.taskDuration() }, StopTime: 200 * time.Millisecond,
-		OnViolation: func(text string) { in.t.Errorf("minion broke a rule after %v: %s", in.clock(), text) }, RunLog: &in.runLog, MaxLease: testMaxLease,
+		OnViolation: func(text string) { in.t.Errorf("minion broke a rule after %v: %s", in.clock(), text) }, RunLog: &in.runLog, MaxLease: in.maxLease,
 		Permitted: func(o runner.Start) bool { return in.adviser.acceptsStart(a.minion, o) },
 	}
 	a.minion.StartLife()
@@ -258,7 +261,7 @@
 	in.mu.Lock()
 	in.journals[incarnation.Address(a.machine)] = j
 	in.mu.Unlock()
-	a.runner = runner.New(runner.Settings{Lease: testLease, MaxLease: testMaxLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
+	a.runner = runner.New(runner.Settings{Lease: testLease, MaxLease: in.maxLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
 	a.stopped = false
 	a.stop = in.startAll(j.Start, a.runner.Start, a.reportMinion)
 }
--- a/internal/process/scheduler/scheduler_test.go
+++ b/internal/process/scheduler/scheduler_test.go
@@ -277,20 +277,20 @@
 
 func testLeaseOfEarlierLife(t *testing.T, known bool) {
 	withInstallation(t, func(_ *testing.T, in *installation) {
+		in.maxLease = 12 * time.Second
 		a := in.addWorker(workerCapacity())
 		a.readsWithoutPause.Store(true)
 		in.setDuration(20 * time.Second)
 		time.Sleep(15 * time.Second)
 		in.submit(spec("job", 1, smallTask()))
 		a.minion.StartLife()
-		starts := 1
-		if known {
-			// The new life repeats the task once it is announced.
-			starts = 2
-		}
-		for in.runLog.Starts() < starts {
+		for in.runLog.Starts() < 1 {
 			time.Sleep(time.Millisecond)
 		}
+		if known {
+			// The new life is announced, repeats the task, and confirms that in a poll.
+			time.Sleep(3 * time.Second)
+		}
 		a.minion.SetUnresponsive(true, false)
 		in.addWorker(workerCapacity())
 		in.await("job", workload.OutcomeCompleted, 60*time.Second)
