internal/process/allocation: leave headroom to the urgent jobs that are expected

Their gangs need whole workers, and jobs of low priority spread over all workers whenever these are idle for a moment, so that each urgent gang has to stop many runs, or waits. Change: a unit of low priority that can wait starts only on workers where runs of its own or of later priorities are, and on as many others, the fullest first, as more urgent jobs are not expected to need, by the arrivals of the last 8 s. What is held back is logged.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -17,21 +17,27 @@
 	if u.step.Gang && u.step.SameRack && len(u.members) > 1 {
 		return p.findOnOneRack(u, capacity)
 	}
-	return pack(u, p.hosts, capacity)
+	return pack(u, p.hostsFor(u), capacity)
+}
+
+// intersect returns those of the hosts that are among the allowed ones.
+func intersect(hosts, allowed []*host) []*host {
+	return slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return !slices.Contains(allowed, h) })
 }
 
 // findNearData returns hosts on the rack of the unit's data. It returns hosts on other racks only
 // if the unit would not fit on that rack even with empty workers, or if waiting for that rack is
 // worse than running on another one. It returns nil if the unit must wait.
 func (p *plan) findNearData(u *unit, capacity capacityFunc) []assignment {
+	allowed := p.hostsFor(u)
 	nearHosts := p.racks[rackKey{u.job.Service, u.step.Rack}]
-	if assignments := pack(u, nearHosts, capacity); assignments != nil {
+	if assignments := pack(u, intersect(nearHosts, allowed), capacity); assignments != nil {
 		return assignments
 	}
 	if pack(u, nearHosts, capacityWhenEmpty) != nil && p.worthWaiting(u) {
 		return nil
 	}
-	return pack(u, p.hosts, capacity)
+	return pack(u, allowed, capacity)
 }
 
 // findOnOneRack returns hosts for a gang on the rack with the fewest free accelerators among
@@ -41,13 +47,14 @@
 func (p *plan) findOnOneRack(u *unit, capacity capacityFunc) []assignment {
 	var best []assignment
 	bestFree := -1
+	allowed := p.hostsFor(u)
 	fitsOneRack := false
 	for _, key := range p.serviceRacks(u) {
 		hosts := p.racks[key]
 		if pack(u, hosts, capacityWhenEmpty) != nil {
 			fitsOneRack = true
 		}
-		assignments := pack(u, hosts, capacity)
+		assignments := pack(u, intersect(hosts, allowed), capacity)
 		if assignments == nil {
 			continue
 		}
@@ -62,7 +69,7 @@
 	if best != nil || fitsOneRack && p.worthWaiting(u) {
 		return best
 	}
-	return pack(u, p.hosts, capacity)
+	return pack(u, allowed, capacity)
 }
 
 // worthWaiting reports whether the unit should wait for capacity near its data or on one rack
--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -43,12 +43,14 @@
 	// Delays are the open occurrences that are not expected to end within their objectives, in the
 	// order of their jobs.
 	Delays []Delay
+	// HeldBack are the occurrences that wait although they fit, in the order of their ranks.
+	HeldBack []HeldBack
 	// PermitQueries are the queries to the adviser whose answers may allow more placements, the
 	// most urgent first.
 	PermitQueries []permit.Query
 }
 
-// Empty reports whether there is nothing to propose. It ignores Delays and PermitQueries.
+// Empty reports whether there is nothing to propose. It ignores Delays, HeldBack and PermitQueries.
 func (d Decision) Empty() bool { return len(d.Places)+len(d.Stops) == 0 }
 
 // Decide returns the runs to start and to stop now. It places the waiting units in order of
@@ -61,6 +63,7 @@
 	p.migrate()
 	for _, u := range p.rankedUnits() {
 		if !p.tryPlace(u) {
+			p.noteHeldBack(u)
 			p.queryPermits(u)
 		}
 	}
@@ -84,6 +87,8 @@
 	serviceCapacities map[bundle.ServiceName]workload.Resources
 	// forecasts has the open occurrences that may start and have an objective.
 	forecasts map[occurrenceKey]*forecast
+	// headroom is a cache of hostsFor.
+	headroom headroom
 	// ends and victims are caches of expectedEnds and runsByLoss; nil until their first use.
 	ends     []expectedEnd
 	victims  map[*host][]*victim
--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -25,6 +25,8 @@
 	// jobs has the time at which Update first found each open job. For a job that the first
 	// Update found, it is the time of submission instead.
 	jobs map[workload.JobID]time.Duration
+	// arrivals are the jobs submitted within the last demandWindow.
+	arrivals []arrival
 	// runs has the current run of each task that has one, workers all workers in the state, and
 	// durationModels the model of each queue.
 	runs           map[workload.TaskRef]runHistory
@@ -217,6 +219,7 @@
 		if _, known := h.jobs[id]; !known {
 			h.jobs[id] = now - age(j.Submitted)
 			h.addEstimates(j)
+			h.addArrival(j, h.jobs[id])
 		}
 	}
 	for id := range h.jobs {
@@ -224,6 +227,7 @@
 			delete(h.jobs, id)
 		}
 	}
+	h.pruneArrivals(now)
 	h.pruneSteps(s)
 	h.pruneFailures(s)
 }
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -24,6 +24,9 @@
 	afterStops workload.Resources
 	// trialOnly hosts accept a single task, as a test after quarantine.
 	trialOnly bool
+	// latestPriority is the highest priority number of the runs on the host, -1 without runs.
+	// Long-running tasks are not counted.
+	latestPriority int
 	// hasLatencySensitive is true if a task with a TailTarget runs on the host, hasFiller if a
 	// filler does. idleCores are the free cores less those that the fillers on the host need;
 	// free includes the cores of fillers, since fillers reserve none.
@@ -76,11 +79,14 @@
 	if p.History.isSlow(w) || !accepting || trialOnly && len(w.Runs) > 0 {
 		return nil
 	}
-	h := &host{worker: w, free: w.Free(), trialOnly: trialOnly, placed: map[workload.StepRef]int{}}
+	h := &host{worker: w, free: w.Free(), trialOnly: trialOnly, latestPriority: -1, placed: map[workload.StepRef]int{}}
 	h.afterStops = h.free
 	h.idleCores = h.free.Cores
 	for r := range w.Runs {
 		step := p.State.Job(r.Job).Steps[r.Step]
+		if !step.LongRunning {
+			h.latestPriority = max(h.latestPriority, p.State.Job(r.Job).Priority)
+		}
 		h.addTasks(step, 1)
 		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
 			h.afterStops = h.afterStops.Plus(p.reservation(r))
@@ -107,6 +113,9 @@
 // assign subtracts the reservations of count members of the unit from the capacity of the host. A
 // trialOnly host then has no capacity left.
 func (h *host) assign(u *unit, count int) {
+	if !u.step.LongRunning {
+		h.latestPriority = max(h.latestPriority, u.job.Priority)
+	}
 	h.free = h.free.Minus(u.total(count))
 	h.afterStops = h.afterStops.Minus(u.total(count))
 	first := u.members[0]
--- a/internal/process/scheduler/delays.go
+++ b/internal/process/scheduler/delays.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"corianderpass/internal/process/workload"
@@ -45,3 +46,19 @@
 	}
 	s.loggedDelays = logged
 }
+
+// logHeldBack logs the occurrences that the last decision newly holds back, and again those that are
+// still held back after minDelayLogInterval.
+func (s *Scheduler) logHeldBack() {
+	now := s.clock()
+	maps.DeleteFunc(s.loggedHeldBack, func(_ delayKey, at time.Duration) bool { return now-at >= minDelayLogInterval })
+	for _, h := range s.heldBack {
+		key := delayKey{h.Job, h.Occurrence}
+		if _, logged := s.loggedHeldBack[key]; logged {
+			continue
+		}
+		s.loggedHeldBack[key] = now
+		s.logger.Info("held back", "job", h.Job, "occurrence", h.Occurrence, "urgent_demand", h.Demand, "workers", h.Workers,
+			"all_workers", h.AllWorkers, "slack_ms", h.Slack.Milliseconds())
+	}
+}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -123,6 +123,9 @@
 	// occurrence that is still delayed.
 	delays       []allocation.Delay
 	loggedDelays map[delayKey]loggedDelay
+	// heldBack are those of the last decision; loggedHeldBack has when each was last logged.
+	heldBack       []allocation.HeldBack
+	loggedHeldBack map[delayKey]time.Duration
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -136,6 +139,7 @@
 		logger: logger.Named("scheduler"), notify: notify,
 		suspectedAt: map[workload.LifeID]time.Duration{}, wasPresent: map[workload.LifeID]bool{},
 		jobsEndedAt: map[workload.JobID]time.Duration{}, livesEndedAt: map[workload.LifeID]time.Duration{},
+		loggedHeldBack: map[delayKey]time.Duration{},
 	}
 }
 
@@ -220,6 +224,7 @@
 	switch {
 	case leader == s.self:
 		s.logDelays()
+		s.logHeldBack()
 		s.permits.SetQueries(queries)
 		s.proposeAsLeader(ctx, term, due, queries)
 	case len(due) > 0:
