--- a/internal/process/allocation/demand.go
+++ b/internal/process/allocation/demand.go
@@ -9,8 +9,8 @@
 )
 
 // demandWindow is the time over which arrivals of jobs are averaged. It covers several runs of urgent
-// jobs, follows bursts, and ends before a job that waits for nothing else counts as forgotten by the
-// platform's rules.
+// jobs and follows bursts. By the platform's rules, all capacity must be used 14 s after the last
+// arrival, when the window is empty.
 const demandWindow = 8 * time.Second
 
 // demandMargin is the factor on the mean demand for which headroom is left, since arrivals vary. The
