--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -247,6 +247,15 @@
 	return a
 }
 
+// addPromptWorker starts a minion and an agent that reads the stream without pauses, and waits until
+// the worker is announced.
+func (in *installation) addPromptWorker() *testAgent {
+	a := in.addWorker(workerCapacity())
+	a.readsWithoutPause.Store(true)
+	time.Sleep(4 * time.Second)
+	return a
+}
+
 // start starts a new incarnation of the agent.
 func (a *testAgent) start() {
 	in := a.in
