--- a/cmd/corianderpass-experiment/main.go
+++ b/cmd/corianderpass-experiment/main.go
@@ -20,20 +20,25 @@
 
 // policies lists the measured policies in the order of the tables.
 var policies = []struct {
-	name   string
-	policy experiment.Policy
+	name string
+	run  func(experiment.Workload) *experiment.Report
 	// noQuarantine switches off the quarantine of workers, which is not part of the policy.
 	noQuarantine bool
 }{
-	{name: "full", policy: placement.Policy{}},
-	{name: "naive", policy: placement.Naive{}},
-	{name: "no backfill", policy: placement.Policy{NoBackfill: true}},
-	{name: "no ageing", policy: placement.Policy{NoAgeing: true}},
-	{name: "no correction", policy: placement.Policy{NoCorrection: true}},
-	{name: "no patience", policy: placement.Policy{NoSmallJobDelay: true}},
-	{name: "no compaction", policy: placement.Policy{NoCompaction: true}},
-	{name: "no moves", policy: placement.Policy{NoMoves: true}},
-	{name: "no quarantine", policy: placement.Policy{}, noQuarantine: true},
+	{name: "full", run: under(placement.Policy{})},
+	{name: "naive", run: under(placement.Naive{})},
+	{name: "no backfill", run: under(placement.Policy{NoBackfill: true})},
+	{name: "no ageing", run: under(placement.Policy{NoAgeing: true})},
+	{name: "no correction", run: under(placement.Policy{NoCorrection: true})},
+	{name: "no patience", run: under(placement.Policy{NoSmallJobDelay: true})},
+	{name: "no compaction", run: under(placement.Policy{NoCompaction: true})},
+	{name: "no moves", run: under(placement.Policy{NoMoves: true})},
+	{name: "no quarantine", run: under(placement.Policy{}), noQuarantine: true},
+}
+
+// under returns a function that runs a workload under the policy.
+func under[P experiment.Policy](p P) func(experiment.Workload) *experiment.Report {
+	return func(w experiment.Workload) *experiment.Report { return experiment.Run(w, p) }
 }
 
 func main() {
@@ -64,7 +69,7 @@
 			continue
 		}
 		w.NoQuarantine = p.noQuarantine
-		report := experiment.Run(w, p.policy)
+		report := p.run(w)
 		report.Print(os.Stdout, p.name)
 		totals = append(totals, report.TotalsRow(p.name))
 		for _, v := range report.Violations {
--- a/internal/process/experiment/faults.go
+++ b/internal/process/experiment/faults.go
@@ -27,7 +27,7 @@
 
 // scheduleFaults schedules cancellations, losses and failing workers for the whole
 // experiment.
-func (e *experiment) scheduleFaults() {
+func (e *experiment[P]) scheduleFaults() {
 	w := e.workload
 	for at := cancelInterval; at < w.Length; at += cancelInterval {
 		e.schedule(at, e.cancelJobs)
@@ -49,7 +49,7 @@
 
 // cancelJobs cancels each job that has not ended with the probability cancelShare, except
 // urgent claims of guarantees.
-func (e *experiment) cancelJobs() {
+func (e *experiment[P]) cancelJobs() {
 	for _, j := range e.state.Active(func(j *ledger.Job) bool { return !j.Cancelled && j.Class != ledger.ClassUrgent }) {
 		if e.random.Float64() >= cancelShare {
 			continue
@@ -67,7 +67,7 @@
 
 // loseWorkers removes the workers with the indices first to end-1 for lossDuration.
 // Gangs on them stop without a checkpoint.
-func (e *experiment) loseWorkers(first, end int) {
+func (e *experiment[P]) loseWorkers(first, end int) {
 	lost := e.workload.newWorkers()[first:end]
 	var ids []platform.WorkerID
 	for _, w := range lost {
--- a/internal/process/experiment/run.go
+++ b/internal/process/experiment/run.go
@@ -16,6 +16,8 @@
 // placement.Policy, its variants with one rule switched off, and placement.Naive, which
 // has none of the rules.
 type Policy interface {
+	// Decide returns the placements and yields for the state at the time now. It considers no job for
+	// which skip returns true.
 	Decide(s *ledger.State, now time.Time, skip placement.Skip) placement.Decision
 }
 
@@ -60,9 +62,9 @@
 }
 
 // experiment is an experiment in progress.
-type experiment struct {
+type experiment[P Policy] struct {
 	workload Workload
-	policy   Policy
+	policy   P
 	state    *ledger.State
 	// now is the simulated time since the start.
 	now time.Duration
@@ -86,8 +88,8 @@
 
 // Run runs the workload under the policy and returns the measurements. It ends once all
 // jobs have ended, at the latest maxOvertime after w.Length.
-func Run(w Workload, p Policy) *Report {
-	e := &experiment{
+func Run[P Policy](w Workload, p P) *Report {
+	e := &experiment[P]{
 		workload: w, policy: p, state: ledger.NewState(region),
 		arrivals: map[ledger.JobID]arrival{}, failingWorkers: map[platform.WorkerID]bool{},
 		random: rand.New(rand.NewPCG(w.Seed, 2)), report: newReport(w),
@@ -108,14 +110,14 @@
 }
 
 // schedule makes the experiment call do once d has passed in simulated time.
-func (e *experiment) schedule(d time.Duration, do func()) {
+func (e *experiment[P]) schedule(d time.Duration, do func()) {
 	e.sequence++
 	heap.Push(&e.events, event{at: e.now + d, sequence: e.sequence, do: do})
 }
 
 // loop calls the events in order. It calls decide after the last of the events that have
 // the same time.
-func (e *experiment) loop() {
+func (e *experiment[P]) loop() {
 	for len(e.events) > 0 && e.openJobs > 0 {
 		next := heap.Pop(&e.events).(event)
 		if next.at > e.workload.Length+maxOvertime {
@@ -130,10 +132,10 @@
 }
 
 // time returns the current wall clock.
-func (e *experiment) time() time.Time { return startTime.Add(e.now) }
+func (e *experiment[P]) time() time.Time { return startTime.Add(e.now) }
 
 // apply applies a record to the ledger.
-func (e *experiment) apply(rec ledger.Record) error {
+func (e *experiment[P]) apply(rec ledger.Record) error {
 	rec.Rules = ledger.CurrentRulesVersion
 	e.offset++
 	e.report.Records++
@@ -141,7 +143,7 @@
 }
 
 // submit submits a job, and counts it if the ledger rejects it.
-func (e *experiment) submit(a arrival) {
+func (e *experiment[P]) submit(a arrival) {
 	err := e.apply(ledger.Record{Submit: &ledger.Submit{Spec: a.spec}})
 	if err != nil {
 		e.report.RejectedJobs++
@@ -155,7 +157,7 @@
 }
 
 // decide applies the decisions of the policy until the policy returns an empty one.
-func (e *experiment) decide() {
+func (e *experiment[P]) decide() {
 	e.rejected = map[ledger.JobID]bool{}
 	for {
 		d := e.policy.Decide(e.state, e.time(), func(id ledger.JobID) bool { return e.rejected[id] })
@@ -172,7 +174,7 @@
 }
 
 // yield orders a gang to free its workers, so that it can be placed better.
-func (e *experiment) yield(y ledger.Yield) {
+func (e *experiment[P]) yield(y ledger.Yield) {
 	if e.apply(ledger.Record{Yield: &y}) != nil {
 		e.report.RejectedPlacements++
 		return
@@ -183,7 +185,7 @@
 
 // place places a job. The gangs that the placement preempts are stopped, and the job starts after
 // commitDelay.
-func (e *experiment) place(p ledger.Place) {
+func (e *experiment[P]) place(p ledger.Place) {
 	p.Driver = "experiment"
 	if err := e.apply(ledger.Record{Place: &p}); err != nil {
 		e.rejected[p.Job] = true
@@ -198,7 +200,7 @@
 }
 
 // stopPreempted schedules the stops of preempted gangs, each with a checkpoint.
-func (e *experiment) stopPreempted() {
+func (e *experiment[P]) stopPreempted() {
 	for _, j := range e.state.Active(func(j *ledger.Job) bool { return j.Phase == ledger.PhaseStopping }) {
 		id, epoch := j.ID, j.Epoch
 		e.schedule(stopDelay, func() { e.stop(id, epoch, true, nil) })
@@ -208,7 +210,7 @@
 // stop stops a gang before its end, unless it was stopped or placed again meanwhile. If
 // checkpoint is true, all its work since the start is saved, otherwise the work up to
 // its last periodic checkpoint. unreachable lists workers that did not answer.
-func (e *experiment) stop(id ledger.JobID, epoch platform.Epoch, checkpoint bool, unreachable []platform.WorkerID) {
+func (e *experiment[P]) stop(id ledger.JobID, epoch platform.Epoch, checkpoint bool, unreachable []platform.WorkerID) {
 	j := e.state.Job(id)
 	if j == nil || j.Epoch != epoch || !j.HoldsAccelerators() {
 		return
@@ -231,7 +233,7 @@
 
 // start commits a placement, unless it is outdated, and schedules the success or failure
 // of the job.
-func (e *experiment) start(id ledger.JobID, epoch platform.Epoch) {
+func (e *experiment[P]) start(id ledger.JobID, epoch platform.Epoch) {
 	j := e.state.Job(id)
 	if j == nil || j.Epoch != epoch || j.Phase != ledger.PhaseReserved {
 		return
@@ -252,7 +254,7 @@
 }
 
 // failingWorker returns a failing worker of the job, or "" if there is none.
-func (e *experiment) failingWorker(j *ledger.Job) platform.WorkerID {
+func (e *experiment[P]) failingWorker(j *ledger.Job) platform.WorkerID {
 	for _, a := range j.Assignments {
 		if e.failingWorkers[a.Worker] {
 			return a.Worker
@@ -262,21 +264,21 @@
 }
 
 // succeed records the success of a job.
-func (e *experiment) succeed(id ledger.JobID, epoch platform.Epoch, runTime time.Duration) {
+func (e *experiment[P]) succeed(id ledger.JobID, epoch platform.Epoch, runTime time.Duration) {
 	if e.apply(ledger.Record{Finish: &ledger.Finish{Job: id, Epoch: epoch, RanTime: runTime}}) == nil {
 		e.recordEnd(id)
 	}
 }
 
 // fail records the failure of a job on a worker.
-func (e *experiment) fail(id ledger.JobID, epoch platform.Epoch, worker platform.WorkerID) {
+func (e *experiment[P]) fail(id ledger.JobID, epoch platform.Epoch, worker platform.WorkerID) {
 	if e.apply(ledger.Record{Finish: &ledger.Finish{Job: id, Epoch: epoch, Failed: true, Worker: worker, Error: "failed"}}) == nil {
 		e.recordEnd(id)
 	}
 }
 
 // recordEnd adds a job to the report if it has ended.
-func (e *experiment) recordEnd(id ledger.JobID) {
+func (e *experiment[P]) recordEnd(id ledger.JobID) {
 	j := e.state.Job(id)
 	if j == nil || j.Phase != ledger.PhaseEnded {
 		return
@@ -287,7 +289,7 @@
 
 // sample adds the use of accelerators to the report and checks the invariants of the
 // ledger. It schedules itself again while jobs arrive.
-func (e *experiment) sample() {
+func (e *experiment[P]) sample() {
 	if e.now <= e.workload.Length {
 		e.report.recordState(e.state)
 		e.schedule(sampleInterval, e.sample)
