internal/process/scheduler: one filter for log lines on conditions that go on

Delayed and held back occurrences bounded their lines by two copies of the same logic, and the second one repeated a line every two seconds. TestChangeFilterBoundsLines fails without each of its four conditions.

--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -119,13 +119,12 @@
 	overdueRecordCount uint64
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
-	// delays are those of the last decision; loggedDelays has what was last logged of each
-	// occurrence that is still delayed.
-	delays       []allocation.Delay
-	loggedDelays map[delayKey]loggedDelay
-	// heldBack are those of the last decision; loggedHeldBack has when each was last logged.
+	// delays and heldBack are those of the last decision. loggedDelays has whether the logged delays were
+	// missed.
+	delays         []allocation.Delay
+	loggedDelays   changeFilter[delayKey, bool]
 	heldBack       []allocation.HeldBack
-	loggedHeldBack map[delayKey]time.Duration
+	loggedHeldBack changeFilter[delayKey, struct{}]
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -139,7 +138,6 @@
 		logger: logger.Named("scheduler"), notify: notify,
 		suspectedAt: map[workload.LifeID]time.Duration{}, wasPresent: map[workload.LifeID]bool{},
 		jobsEndedAt: map[workload.JobID]time.Duration{}, livesEndedAt: map[workload.LifeID]time.Duration{},
-		loggedHeldBack: map[delayKey]time.Duration{},
 	}
 }
 
