--- a/internal/process/scheduler/change_filter_test.go
+++ b/internal/process/scheduler/change_filter_test.go
@@ -25,12 +25,12 @@
 			reported := map[string]bool{}
 			for n := range 4 {
 				item := fmt.Sprint("item", n)
-				if !rapid.Bool().Draw(t, "reported") {
+				if rapid.IntRange(0, 9).Draw(t, "absent") == 0 {
 					steady[item] = false
 					continue
 				}
 				reported[item] = true
-				value := rapid.Bool().Draw(t, "value")
+				value := rapid.IntRange(0, 9).Draw(t, "value") == 0
 				due := f.IsDue(item, value, now, interval)
 				switch inInterval := last[item] && now-lastAt[item] < interval; {
 				case due && inInterval:
