--- a/internal/process/membership/membership_test.go
+++ b/internal/process/membership/membership_test.go
@@ -19,6 +19,15 @@
 	}
 }
 
+// requireAlive fails the test unless process a counts as alive, or as dead, at the moment that when
+// describes.
+func requireAlive(t *testing.T, d *membership.Directory, want bool, when string) {
+	t.Helper()
+	if got := d.IsAlive("a"); got != want {
+		t.Fatalf("%s: got alive %v, want %v", when, got, want)
+	}
+}
+
 // Entries forward heartbeats to each other, so that a heartbeat can arrive again after its
 // sender has died. A heartbeat that is not newer, or is as old as the timeout, must not
 // make the process count as alive.
@@ -26,26 +35,16 @@
 	d := membership.Directory{HomeRegion: "r"}
 	now := time.Now()
 	d.Update(now, heartbeat("a", 5, 0))
-	if !d.IsAlive("a") {
-		t.Fatal("got dead after a heartbeat, want alive")
-	}
+	requireAlive(t, &d, true, "after a heartbeat")
 	now = now.Add(membership.HomeEntryTimeout)
 	d.Sweep(now)
-	if d.IsAlive("a") {
-		t.Fatal("got alive after the timeout without a heartbeat, want dead")
-	}
+	requireAlive(t, &d, false, "after the timeout without a heartbeat")
 	d.Update(now, heartbeat("a", 5, 0), heartbeat("a", 4, 0))
-	if d.IsAlive("a") {
-		t.Fatal("got alive after a heartbeat that is not newer, want dead")
-	}
+	requireAlive(t, &d, false, "after a heartbeat that is not newer")
 	d.Update(now, heartbeat("a", 6, membership.HomeEntryTimeout))
-	if d.IsAlive("a") {
-		t.Fatal("got alive after a heartbeat as old as the timeout, want dead")
-	}
+	requireAlive(t, &d, false, "after a heartbeat as old as the timeout")
 	d.Update(now, heartbeat("a", 7, time.Second))
-	if !d.IsAlive("a") {
-		t.Fatal("got dead after a new heartbeat, want alive")
-	}
+	requireAlive(t, &d, true, "after a new heartbeat")
 }
 
 // Another entry forwards the last heartbeat of a process that has been marked as dead meanwhile,
@@ -58,17 +57,11 @@
 	now = now.Add(time.Second)
 	d.MarkDead(now, "a")
 	d.Update(now, heartbeat("a", 6, 500*time.Millisecond))
-	if d.IsAlive("a") {
-		t.Error("got alive after a forwarded heartbeat from before the death, want dead")
-	}
+	requireAlive(t, &d, false, "after a forwarded heartbeat from before the death")
 	d.Touch(now, "a", 100*time.Millisecond, 1)
-	if d.IsAlive("a") {
-		t.Error("got alive after a touch from before the death, want dead")
-	}
+	requireAlive(t, &d, false, "after a touch from before the death")
 	d.Update(now.Add(time.Second), heartbeat("a", 7, 100*time.Millisecond))
-	if !d.IsAlive("a") {
-		t.Error("got dead after a heartbeat that was sent later, want alive")
-	}
+	requireAlive(t, &d, true, "after a heartbeat that was sent later")
 }
 
 // A digest arrives late and has a newer sequence, but was sent before a heartbeat without one was
@@ -82,9 +75,7 @@
 	d.Update(now, heartbeat("a", 6, 1500*time.Millisecond))
 	now = now.Add(2 * time.Second)
 	d.Sweep(now)
-	if !d.IsAlive("a") {
-		t.Error("got dead 2s after the last heartbeat, want alive")
-	}
+	requireAlive(t, &d, true, "2s after the last heartbeat")
 }
 
 // Removing a member must not change the order of the other members, or keys would move
