internal/process/runner: allow exactly for the greatest slowdown of a minion's clock in the wait for leases

A clock that is 2% slow lets d take d/0.98, not d*1.02. Also: the method that records that a minion has received the token no longer shares the name of Runner.fence.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -234,7 +234,7 @@
 		return
 	}
 	r.life.update(order, status, sentAt, receivedAt)
-	r.life.fence(order, receivedAt, r.settings.MaxLease)
+	r.life.recordFencing(order, receivedAt, r.settings.MaxLease)
 }
 
 func (r *Runner) dropCandidate(id MinionID) {
@@ -269,20 +269,20 @@
 	l.updateProgress(receivedAt)
 }
 
-// fence sets fenced once the minion has answered a poll of this life. Until then it may have accepted
-// a lease from an order that an earlier agent sent, or that was meant for an earlier life, whose
+// recordFencing sets fenced once the minion has answered a poll of this life. Until then it may have
+// accepted a lease from an order that an earlier agent sent, or that was meant for an earlier life, whose
 // clock was ahead. Such a lease ends at most maxLease after the answer.
-func (l *minionLife) fence(order Poll, receivedAt, maxLease time.Duration) {
+func (l *minionLife) recordFencing(order Poll, receivedAt, maxLease time.Duration) {
 	if l.fenced || order.Token < l.firstToken {
 		return
 	}
 	l.fenced = true
-	l.latestLeaseEnd = max(l.latestLeaseEnd, receivedAt+slowest(maxLease))
+	l.latestLeaseEnd = max(l.latestLeaseEnd, receivedAt+longest(maxLease))
 }
 
-// slowest returns how long the duration may last on the minion's clock.
-func slowest(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 + maxClockSlowdown))
+// longest returns the longest time that d on the minion's clock may take.
+func longest(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - maxClockSlowdown))
 }
 
 // addLease records that an order with a lease until leaseEnd is being sent now.
@@ -297,7 +297,7 @@
 	if l.statusSentAt >= l.startSentAt {
 		return l.latestLeaseEnd
 	}
-	return max(l.latestLeaseEnd, l.leaseSentAt+callTimeout+slowest(maxLease))
+	return max(l.latestLeaseEnd, l.leaseSentAt+callTimeout+longest(maxLease))
 }
 
 // nextLease returns the end of the lease that may be granted now, first on the minion's
