--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -7,31 +7,34 @@
 	"corianderpass/pkg/platform"
 )
 
-// findAssignments returns hosts with capacity for all members of the unit, nil if the unit
-// does not fit. A step with data on a rack prefers that rack; a gang that wants one rack
+// findAssignments returns hosts with capacity for all members of the unit, among those on which it may
+// start, nil if the unit does not fit. A step with data on a rack prefers that rack; a gang that wants one rack
 // prefers a single rack.
 func (p *plan) findAssignments(u *unit, capacity capacityFunc) []assignment {
+	allowed := p.hostsFor(u)
 	if u.step.Rack != "" {
-		return p.findNearData(u, capacity)
+		return p.findNearData(u, allowed, capacity)
 	}
 	if u.step.Gang && u.step.SameRack && len(u.members) > 1 {
-		return p.findOnOneRack(u, capacity)
+		return p.findOnOneRack(u, allowed, capacity)
 	}
-	return pack(u, p.hostsFor(u), capacity)
+	return pack(u, allowed, capacity)
 }
 
-// intersect returns those of the hosts that are among the allowed ones.
-func intersect(hosts, allowed []*host) []*host {
+// keepAllowed returns those of the hosts that are among the allowed ones.
+func (p *plan) keepAllowed(hosts, allowed []*host) []*host {
+	if len(allowed) == len(p.hosts) {
+		return hosts
+	}
 	return slices.DeleteFunc(slices.Clone(hosts), func(h *host) bool { return !slices.Contains(allowed, h) })
 }
 
-// findNearData returns hosts on the rack of the unit's data. It returns hosts on other racks only
+// findNearData returns allowed hosts on the rack of the unit's data. It returns hosts on other racks only
 // if the unit would not fit on that rack even with empty workers, or if waiting for that rack is
 // worse than running on another one. It returns nil if the unit must wait.
-func (p *plan) findNearData(u *unit, capacity capacityFunc) []assignment {
-	allowed := p.hostsFor(u)
+func (p *plan) findNearData(u *unit, allowed []*host, capacity capacityFunc) []assignment {
 	nearHosts := p.racks[rackKey{u.job.Service, u.step.Rack}]
-	if assignments := pack(u, intersect(nearHosts, allowed), capacity); assignments != nil {
+	if assignments := pack(u, p.keepAllowed(nearHosts, allowed), capacity); assignments != nil {
 		return assignments
 	}
 	if pack(u, nearHosts, capacityWhenEmpty) != nil && p.worthWaiting(u) {
@@ -40,21 +43,20 @@
 	return pack(u, allowed, capacity)
 }
 
-// findOnOneRack returns hosts for a gang on the rack with the fewest free accelerators among
+// findOnOneRack returns allowed hosts for a gang on the rack with the fewest free accelerators among
 // those with enough capacity. It spreads the gang over racks only if no single rack could take
 // the gang even with empty workers, or if waiting for one rack is worse than running on
 // several. It returns nil if the gang must wait.
-func (p *plan) findOnOneRack(u *unit, capacity capacityFunc) []assignment {
+func (p *plan) findOnOneRack(u *unit, allowed []*host, capacity capacityFunc) []assignment {
 	var best []assignment
 	bestFree := -1
-	allowed := p.hostsFor(u)
 	fitsOneRack := false
 	for _, key := range p.serviceRacks(u) {
 		hosts := p.racks[key]
 		if pack(u, hosts, capacityWhenEmpty) != nil {
 			fitsOneRack = true
 		}
-		assignments := pack(u, intersect(hosts, allowed), capacity)
+		assignments := pack(u, p.keepAllowed(hosts, allowed), capacity)
 		if assignments == nil {
 			continue
 		}
--- a/internal/process/allocation/headroom.go
+++ b/internal/process/allocation/headroom.go
@@ -72,7 +72,7 @@
 		total++
 		switch {
 		case !h.worker.Allows(u.job.Service, u.step):
-		case h.latestPriority >= u.job.Priority:
+		case h.maxPriority >= u.job.Priority:
 			shared = append(shared, h)
 		default:
 			others = append(others, h)
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -24,9 +24,9 @@
 	afterStops workload.Resources
 	// trialOnly hosts accept a single task, as a test after quarantine.
 	trialOnly bool
-	// latestPriority is the highest priority number of the runs on the host, -1 without runs.
+	// maxPriority is the highest priority number of the runs on the host, -1 without runs.
 	// Long-running tasks are not counted.
-	latestPriority int
+	maxPriority int
 	// hasLatencySensitive is true if a task with a TailTarget runs on the host, hasFiller if a
 	// filler does. idleCores are the free cores less those that the fillers on the host need;
 	// free includes the cores of fillers, since fillers reserve none.
@@ -79,13 +79,14 @@
 	if p.History.isSlow(w) || !accepting || trialOnly && len(w.Runs) > 0 {
 		return nil
 	}
-	h := &host{worker: w, free: w.Free(), trialOnly: trialOnly, latestPriority: -1, placed: map[workload.StepRef]int{}}
+	h := &host{worker: w, free: w.Free(), trialOnly: trialOnly, maxPriority: -1, placed: map[workload.StepRef]int{}}
 	h.afterStops = h.free
 	h.idleCores = h.free.Cores
 	for r := range w.Runs {
-		step := p.State.Job(r.Job).Steps[r.Step]
+		j := p.State.Job(r.Job)
+		step := j.Steps[r.Step]
 		if !step.LongRunning {
-			h.latestPriority = max(h.latestPriority, p.State.Job(r.Job).Priority)
+			h.maxPriority = max(h.maxPriority, j.Priority)
 		}
 		h.addTasks(step, 1)
 		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
@@ -114,7 +115,7 @@
 // trialOnly host then has no capacity left.
 func (h *host) assign(u *unit, count int) {
 	if !u.step.LongRunning {
-		h.latestPriority = max(h.latestPriority, u.job.Priority)
+		h.maxPriority = max(h.maxPriority, u.job.Priority)
 	}
 	h.free = h.free.Minus(u.total(count))
 	h.afterStops = h.afterStops.Minus(u.total(count))
