internal/process/allocation: leave no headroom while less than half of the capacity is in use

Cause: the window of the demand was chosen to be empty 14 s after the last arrival, a bound that is a setting of each deployment. By the rule behind it no job may wait while it fits and less than half of the capacity is in use. Change: the code checks that condition, so that no figure of a deployment is left in it. TestNoHeadroomWhileLittleIsInUse fails without it.

--- a/internal/process/allocation/demand.go
+++ b/internal/process/allocation/demand.go
@@ -9,8 +9,7 @@
 )
 
 // demandWindow is the time over which arrivals of jobs are averaged. It covers several runs of urgent
-// jobs and follows bursts. By the platform's rules, all capacity must be used 14 s after the last
-// arrival, when the window is empty.
+// jobs, so that one job weighs little, and follows bursts.
 const demandWindow = 8 * time.Second
 
 // demandMargin is the factor on the mean demand for which headroom is left, since arrivals vary. The
--- a/internal/process/allocation/headroom.go
+++ b/internal/process/allocation/headroom.go
@@ -7,8 +7,13 @@
 	"time"
 
 	"corianderpass/internal/process/workload"
+	"corianderpass/internal/version/bundle"
 )
 
+// minUsedShare is the share of a service's capacity that must be in use before units leave headroom. By
+// the platform's rules, no job may wait for long while it fits and less is in use.
+const minUsedShare = 0.5
+
 // HeldBack is an occurrence with a unit that would fit, but leaves the capacity to more urgent jobs
 // that are expected to arrive.
 type HeldBack struct {
@@ -38,9 +43,10 @@
 	return u.job.Priority > 0 && !u.step.LongRunning && u.rank.slack >= u.duration
 }
 
-// hostsFor returns the hosts on which the unit may start: those where runs of its own or of later
-// priorities are, and as many others, the fullest first, as more urgent jobs are not expected to need.
-// If there are no such runs, it returns all hosts, so that every priority can start something.
+// hostsFor returns the hosts on which the unit may start: those where runs of its own priority or of less
+// urgent ones are, and as many others, the fullest first, as more urgent jobs are not expected to need.
+// It returns all hosts if there are no such runs, so that every priority can start something, and while
+// less than minUsedShare is in use.
 //
 // The pattern that this answers is steady urgent work beside wide jobs of low priority. These would
 // spread over all workers whenever they are idle for a moment, and the next urgent gang, which needs
@@ -60,7 +66,7 @@
 // findHeadroom does the same as hostsFor, for a unit that must leave headroom.
 func (p *plan) findHeadroom(u *unit) []*host {
 	demand := p.demandBefore(u)
-	if demand == 0 {
+	if demand == 0 || p.usedShare(u.job.Service) < minUsedShare {
 		return p.hosts
 	}
 	var shared, others []*host
@@ -112,5 +118,17 @@
 	}
 }
 
+// usedShare returns the share of the service's capacity that runs and reservations take up, of the
+// resource of which they take up most.
+func (p *plan) usedShare(service bundle.ServiceName) float64 {
+	var used workload.Resources
+	for _, h := range p.hosts {
+		if h.worker.Service == service {
+			used = used.Plus(h.worker.Room.Minus(h.free))
+		}
+	}
+	return dominantShare(used, p.serviceCapacities[service])
+}
+
 // freeShare returns the share of the host that is free, summed over cores, memory and accelerators.
 func (h *host) freeShare() float64 { return unusedShare(h.free, workload.Resources{}, h.worker.Room) }
--- a/internal/process/allocation/headroom_test.go
+++ b/internal/process/allocation/headroom_test.go
@@ -117,3 +117,16 @@
 		t.Error("a job with 4s of slack for a run of 5s does not run, want it started")
 	}
 }
+
+// While less than half of the capacity is in use, a job that fits may not wait for more urgent jobs that
+// are only expected.
+func TestNoHeadroomWhileLittleIsInUse(t *testing.T) {
+	f := newUrgentBurst(t)
+	f.submit("small", 2, step(1, 1, 5*time.Second))
+	f.decide()
+	f.submit("wide", 2, step(1, 8, 5*time.Second))
+	f.decide()
+	if f.running("wide") != 1 {
+		t.Error("the job does not run on the idle worker while 1 of 16 accelerators is in use, want it started")
+	}
+}
