workload, evacuation, allocation, runner, platform: evacuate failure domains on operators' request

Change: the state holds the newest request of each domain, ordered by its offset in the operators' stream; every entry proposes what the state lacks; no placements in evacuated domains, and agents refuse starts there.

--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -83,7 +83,8 @@
 	// withinGuarantee holds the organisations whose open priority-0 jobs need no more
 	// accelerators than the organisation's guarantee.
 	withinGuarantee map[bundle.OrganisationName]bool
-	// serviceCapacities is the total capacity of each service's workers, used or not.
+	// serviceCapacities is the total capacity of each service's workers, used or not. Workers of
+	// evacuated failure domains do not count.
 	serviceCapacities map[bundle.ServiceName]workload.Resources
 	// forecasts has the open occurrences that may start and have an objective.
 	forecasts map[occurrenceKey]*forecast
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -53,7 +53,7 @@
 		serviceCapacities: map[bundle.ServiceName]workload.Resources{},
 	}
 	for _, w := range in.State.Workers() {
-		if !w.Gone {
+		if !w.Gone && !in.State.IsEvacuated(w) {
 			p.serviceCapacities[w.Service] = p.serviceCapacities[w.Service].Plus(w.Room)
 		}
 		if h := p.newHost(w); h != nil {
@@ -70,9 +70,9 @@
 }
 
 // newHost returns the worker as a host, nil if the worker accepts no tasks because it is
-// unusable, slow or quarantined, or because its trial task is still running.
+// unusable, slow or quarantined, its failure domain is evacuated, or its trial task is still running.
 func (p *plan) newHost(w *workload.Worker) *host {
-	if !w.Usable() {
+	if !w.Usable() || p.State.IsEvacuated(w) {
 		return nil
 	}
 	accepting, trialOnly := p.History.acceptance(w, p.Now)
--- a/internal/process/command/platform.go
+++ b/internal/process/command/platform.go
@@ -19,6 +19,7 @@
 	"corianderpass/internal/connection/link"
 	"corianderpass/internal/connection/relay"
 	"corianderpass/internal/process/allocation"
+	"corianderpass/internal/process/evacuation"
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/journal"
 	"corianderpass/internal/process/logsink"
@@ -214,9 +215,6 @@
 }
 
 func provideSchedulerSettings(s adapter.Settings) scheduler.Settings {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(s.Node))
-	const rankCount = 4
 	return scheduler.Settings{
 		Allocation: allocation.Rules{
 			FarFactor: s.Bounds.FarFactor, CheckpointInterval: s.Bounds.CheckpointInterval, EarlyStart: s.Bounds.MaxEarlyStart / 2,
@@ -224,12 +222,23 @@
 		SuspectAfter: suspectAfter,
 		LapseAfter:   leaseDuration(s) + lapseMargin,
 		Retention:    2 * s.Bounds.StatusRetention,
-		Rank:         int(h.Sum32() % rankCount),
+		Rank:         rankOf(s),
 	}
 }
 
+// rankOf returns the position of the entry in the order in which entries act when a record is due that
+// any of them may propose. Entries share positions: an order without ties would need their number.
+func rankOf(s adapter.Settings) int {
+	const rankCount = 4
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s.Node))
+	return int(h.Sum32() % rankCount)
+}
+
+func provideEvacuationRank(s adapter.Settings) evacuation.Rank { return evacuation.Rank(rankOf(s)) }
+
 func provideRunnerSettings(s adapter.Settings) runner.Settings {
-	return runner.Settings{FailureDomain: s.FailureDomain, Address: link.Address(s.LinkAddress), Lease: leaseDuration(s), MaxLease: s.Bounds.MaxLeaseDuration}
+	return runner.Settings{FailureDomain: s.FailureDomain, Address: link.Address(s.LinkAddress), Lease: leaseDuration(s), MaxLease: s.Bounds.MaxLeaseDuration, EvacuationTime: s.Bounds.EvacuationTime}
 }
 
 func provideNotify(pool *link.Pool) scheduler.Notify {
--- a/internal/process/command/platform_entry.go
+++ b/internal/process/command/platform_entry.go
@@ -12,6 +12,7 @@
 
 	"corianderpass/internal/connection/link"
 	"corianderpass/internal/connection/relay"
+	"corianderpass/internal/process/evacuation"
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/intake"
 	"corianderpass/internal/process/journal"
@@ -19,25 +20,27 @@
 	"corianderpass/internal/process/presence"
 	"corianderpass/internal/process/scheduler"
 	"corianderpass/internal/process/workload"
+	"corianderpass/pkg/platform"
 	adapter "corianderpass/platform"
 )
 
 // platformEntry is the entry process on the users' platform.
 type platformEntry struct {
-	settings    adapter.Settings
-	journal     *journal.Journal[workload.Record]
-	scheduler   *scheduler.Scheduler
-	listener    *presence.Listener
-	permits     *permit.Cache
-	bundleWatch *adapter.BundleWatcher
-	callers     *adapter.CallerServer
-	path        *relay.Path
-	pool        *link.Pool
-	handlers    link.Handlers
-	state       *workload.State
-	self        incarnation.ID
-	metrics     *metrics.Set
-	logger      hclog.Logger
+	settings      adapter.Settings
+	journal       *journal.Journal[workload.Record]
+	scheduler     *scheduler.Scheduler
+	listener      *presence.Listener
+	permits       *permit.Cache
+	operatorWatch *adapter.OperatorWatcher
+	evacuations   *evacuation.Recorder
+	callers       *adapter.CallerServer
+	path          *relay.Path
+	pool          *link.Pool
+	handlers      link.Handlers
+	state         *workload.State
+	self          incarnation.ID
+	metrics       *metrics.Set
+	logger        hclog.Logger
 }
 
 func provideIntakeSettings(s adapter.Settings) intake.Settings {
@@ -45,13 +48,13 @@
 }
 
 func newPlatformEntry(s adapter.Settings, j *journal.Journal[workload.Record], state *workload.State, sch *scheduler.Scheduler,
-	listener *presence.Listener, permits *permit.Cache, bundleWatch *adapter.BundleWatcher, callers *adapter.CallerServer, metricSet *metrics.Set, logger hclog.Logger, status *leaderStatus,
+	listener *presence.Listener, permits *permit.Cache, operatorWatch *adapter.OperatorWatcher, evacuations *evacuation.Recorder, callers *adapter.CallerServer, metricSet *metrics.Set, logger hclog.Logger, status *leaderStatus,
 	self incarnation.ID, path *relay.Path, pool *link.Pool, handlers link.Handlers, entries *entryList,
 ) *platformEntry {
 	status.leads = sch.Leads
 	entries.readFrom(j, state)
 	e := &platformEntry{
-		settings: s, journal: j, scheduler: sch, listener: listener, permits: permits, bundleWatch: bundleWatch, callers: callers, metrics: metricSet, logger: logger,
+		settings: s, journal: j, scheduler: sch, listener: listener, permits: permits, operatorWatch: operatorWatch, evacuations: evacuations, callers: callers, metrics: metricSet, logger: logger,
 		path: path, pool: pool, handlers: handlers, state: state, self: self,
 	}
 	state.SetObserver(func(event workload.Event) {
@@ -59,9 +62,24 @@
 		leader, _ := state.Leader()
 		e.countJobEnd(event, leader == self)
 	})
+	metricSet.NewGauge("corianderpass_evacuated_domains", func() float64 { return e.sumEvacuated(func(platform.FailureDomain) int { return 1 }) })
+	metricSet.NewGauge("corianderpass_evacuated_domain_runs", func() float64 { return e.sumEvacuated(state.RunsIn) })
 	return e
 }
 
+// sumEvacuated returns the sum of count over the failure domains that are evacuated.
+func (e *platformEntry) sumEvacuated(count func(platform.FailureDomain) int) float64 {
+	sum := 0
+	e.journal.View(func(time.Time) {
+		for d, evacuation := range e.state.Evacuations() {
+			if evacuation.Active {
+				sum += count(d)
+			}
+		}
+	})
+	return float64(sum)
+}
+
 // countJobEnd counts the job that the event ended, if any, by organisation, queue and outcome.
 // Every entry receives the same events, so only the leader logs the end of the job.
 func (e *platformEntry) countJobEnd(event workload.Event, leading bool) {
@@ -101,7 +119,7 @@
 	}
 	server := link.NewServer(e.handlers)
 	defer e.pool.Close()
-	ended := []<-chan error{server.Serve(servingCtx, listener), e.path.Start(servingCtx), e.join(servingCtx), e.bundleWatch.Start(servingCtx), e.journal.Start(servingCtx), e.listener.Start(servingCtx), e.permits.Start(servingCtx), e.scheduler.Start(servingCtx)}
+	ended := []<-chan error{server.Serve(servingCtx, listener), e.path.Start(servingCtx), e.join(servingCtx), e.operatorWatch.Start(servingCtx), e.evacuations.Start(servingCtx), e.journal.Start(servingCtx), e.listener.Start(servingCtx), e.permits.Start(servingCtx), e.scheduler.Start(servingCtx)}
 	e.logger.Info("entry started", "callers", e.settings.CallerAddress, "store", e.settings.StoreAddress)
 	select {
 	case <-ctx.Done():
--- a/internal/process/command/wire.go
+++ b/internal/process/command/wire.go
@@ -11,6 +11,7 @@
 	"corianderpass/internal/connection/remote"
 	"corianderpass/internal/process/agent"
 	"corianderpass/internal/process/entry"
+	"corianderpass/internal/process/evacuation"
 	"corianderpass/internal/process/intake"
 	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
@@ -49,10 +50,11 @@
 func initializePlatformEntry(s adapter.Settings, logger hclog.Logger) *platformEntry {
 	wire.Build(
 		commonProviders, provideEntryJournal, provideSchedulerSettings, provideIntakeSettings,
-		wire.Struct(new(leaderStatus)), wire.Struct(new(bundle.Register)), provideRelayHandlers, provideNotify,
+		wire.Struct(new(leaderStatus)), wire.Struct(new(bundle.Register)), wire.Struct(new(evacuation.Requests)), provideRelayHandlers, provideNotify,
 		wire.Bind(new(platform.KeyedLog), new(*relay.KeyedLog)),
-		presence.NewListener, scheduler.New, intake.New, adapter.NewBundleWatcher, adapter.NewCallerServer, newPlatformEntry,
-		wire.Bind(new(intake.BundleFreshness), new(*adapter.BundleWatcher)),
+		presence.NewListener, scheduler.New, intake.New, adapter.NewOperatorWatcher, adapter.NewCallerServer, newPlatformEntry,
+		wire.Bind(new(intake.BundleFreshness), new(*adapter.OperatorWatcher)),
+		provideEvacuationRank, evacuation.New,
 		permit.New, adapter.NewAdviserClient, wire.Bind(new(permit.Adviser), new(*adapter.AdviserClient)),
 	)
 	return nil
--- a/internal/process/command/wire_gen.go
+++ b/internal/process/command/wire_gen.go
@@ -10,6 +10,7 @@
 	"corianderpass/internal/connection/relay"
 	"corianderpass/internal/process/agent"
 	"corianderpass/internal/process/entry"
+	"corianderpass/internal/process/evacuation"
 	"corianderpass/internal/process/intake"
 	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
@@ -63,13 +64,16 @@
 	cache := permit.New(adviserClient, clock, logger)
 	notify := provideNotify(pool)
 	schedulerScheduler := scheduler.New(settings, id, journal, state, listener, register, cache, clock, logger, notify)
-	bundleWatcher := platform.NewBundleWatcher(relayKeyedLog, register, clock, logger)
+	requests := &evacuation.Requests{}
+	operatorWatcher := platform.NewOperatorWatcher(relayKeyedLog, register, requests, clock, logger)
+	rank := provideEvacuationRank(s)
+	recorder := evacuation.New(rank, requests, journal, state, clock, logger)
 	intakeSettings := provideIntakeSettings(s)
 	set := metrics.NewSet()
-	service := intake.New(intakeSettings, journal, state, register, bundleWatcher, clock, logger, set)
+	service := intake.New(intakeSettings, journal, state, register, operatorWatcher, clock, logger, set)
 	callerServer := platform.NewCallerServer(service, logger, set)
 	handlers := provideRelayHandlers(store, keyedStore, path)
-	commandPlatformEntry := newPlatformEntry(s, journal, state, schedulerScheduler, listener, cache, bundleWatcher, callerServer, set, logger, commandLeaderStatus, id, path, pool, handlers, commandEntryList)
+	commandPlatformEntry := newPlatformEntry(s, journal, state, schedulerScheduler, listener, cache, operatorWatcher, recorder, callerServer, set, logger, commandLeaderStatus, id, path, pool, handlers, commandEntryList)
 	return commandPlatformEntry
 }
 
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -83,10 +83,12 @@
 		r.refuse(l, ref, run, "stopped before its start")
 	case run.phase == phaseNew && l.draining:
 		r.refuse(l, ref, run, "minion drains")
+	case run.phase == phaseNew && v.evacuated:
+		r.refuse(l, ref, run, "failure domain is evacuated")
 	case run.phase == phaseNew && l.unreachable && v.unresponsive:
 		// The leader knows that the worker takes no tasks, so it places the task elsewhere.
 		r.refuse(l, ref, run, "minion cannot be reached")
-	case run.phase == phaseNew && r.clock() >= run.notBefore:
+	case run.phase == phaseNew && r.clock() >= run.notBefore && r.mayStart(v):
 		r.start(l, v, ref, a, run)
 	case run.phase == phaseStarted && !a.wanted && r.clock()-run.stopSentAt > stopRetryAfter:
 		run.stopSentAt = r.clock()
@@ -97,6 +99,13 @@
 	}
 }
 
+// mayStart reports whether the view is recent enough to start a run: an evacuation that it does not
+// contain was requested less than Settings.EvacuationTime ago. The other half of that time is for
+// the request to reach the stream.
+func (r *Runner) mayStart(v view) bool {
+	return r.settings.EvacuationTime == 0 || r.clock()-v.freshUntil < r.settings.EvacuationTime/2
+}
+
 // isMissing reports whether the minion lists a started run neither as running nor as
 // ended.
 func (r *Runner) isMissing(l *minionLife, ref workload.TaskRef, run *runState) bool {
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -67,6 +67,9 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a minion accepts. The minion shortens longer ones.
 	MaxLease time.Duration
+	// EvacuationTime is the time after the request to evacuate a failure domain from which no run
+	// may start there; 0 if failure domains are not evacuated.
+	EvacuationTime time.Duration
 }
 
 // Runner sends orders to one minion and records its runs. Use New. Its exported methods
--- a/internal/process/runner/view.go
+++ b/internal/process/runner/view.go
@@ -19,9 +19,11 @@
 	// fields of its Worker; they are unset if known is false.
 	known                                   bool
 	gone, suspected, draining, unresponsive bool
-	agent                                   incarnation.ID
-	seenEnds                                uint64
-	runs                                    map[workload.TaskRef]assignedRun
+	// evacuated is true while the worker's failure domain is evacuated.
+	evacuated bool
+	agent     incarnation.ID
+	seenEnds  uint64
+	runs      map[workload.TaskRef]assignedRun
 }
 
 // assignedRun is a run that the workload has placed on this worker.
@@ -55,6 +57,7 @@
 		}
 		v.known = true
 		v.gone, v.suspected, v.draining, v.unresponsive = w.Gone, w.Suspected, w.Draining, w.Unresponsive
+		v.evacuated = r.state.IsEvacuated(w)
 		v.agent, v.seenEnds = w.Agent, w.SeenEnds
 		v.runs = make(map[workload.TaskRef]assignedRun, len(w.Runs))
 		for ref, run := range w.Runs {
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -30,6 +30,7 @@
 	Suspect  *Suspect  `json:",omitempty"`
 	Resume   *Resume   `json:",omitempty"`
 	Lapse    *Lapse    `json:",omitempty"`
+	Evacuate *Evacuate `json:",omitempty"`
 }
 
 // Lead makes its writer the leader of the scheduler. Term must be the current term
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 
 	"github.com/pkg/errors"
 
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/journal"
+	"corianderpass/pkg/platform"
 )
 
 var (
@@ -70,13 +72,18 @@
 	workers  map[LifeID]*Worker
 	// entries are in the order in which they joined, the newest last.
 	entries []Entry
+	// evacuations has the newest request concerning each failure domain.
+	evacuations map[platform.FailureDomain]Evacuation
 	// observer is not replicated; it may be nil.
 	observer func(Event)
 }
 
 // NewState returns the state before the first record.
 func NewState() *State {
-	return &State{jobs: map[JobID]*Job{}, openJobs: map[JobID]*Job{}, workers: map[LifeID]*Worker{}}
+	return &State{
+		jobs: map[JobID]*Job{}, openJobs: map[JobID]*Job{}, workers: map[LifeID]*Worker{},
+		evacuations: map[platform.FailureDomain]Evacuation{},
+	}
 }
 
 // SetObserver sets the function that is called with every event, under the journal's
@@ -183,6 +190,8 @@
 		return s.resume(*r.Resume)
 	case r.Lapse != nil:
 		return s.lapse(at, *r.Lapse)
+	case r.Evacuate != nil:
+		return s.evacuate(at, *r.Evacuate)
 	}
 	return errors.New("workload: empty record")
 }
@@ -297,11 +306,13 @@
 	Jobs    map[JobID]*Job
 	Workers map[LifeID]*Worker
 	Entries []Entry
+	// Evacuations is missing in snapshots of older builds.
+	Evacuations map[platform.FailureDomain]Evacuation `json:",omitempty"`
 }
 
 // MarshalSnapshot implements journal.StateMachine.
 func (s *State) MarshalSnapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshotData{Term: s.term, Leader: s.leader, Jobs: s.jobs, Workers: s.workers, Entries: s.entries})
+	data, err := json.Marshal(snapshotData{Term: s.term, Leader: s.leader, Jobs: s.jobs, Workers: s.workers, Entries: s.entries, Evacuations: s.evacuations})
 	if err != nil {
 		return nil, fmt.Errorf("workload: encode snapshot: %w", err)
 	}
@@ -318,6 +329,7 @@
 	restored := NewState()
 	restored.term, restored.leader = d.Term, d.Leader
 	restored.entries = d.Entries
+	maps.Copy(restored.evacuations, d.Evacuations)
 	for id, w := range d.Workers {
 		restored.workers[id] = w
 	}
