evacuation: tests of requests, stale readers, lost leaders, cut-off agents and dropped records

Cause: the evacuation of failure domains had no tests. The property test found that an entry that is behind may record a withdrawn request for a moment; the others correct it.

--- a/internal/process/evacuation/requests.go
+++ b/internal/process/evacuation/requests.go
@@ -17,7 +17,8 @@
 // record. The zero value has no requests and is ready to use. It is safe for concurrent use.
 type Requests struct {
 	mu sync.Mutex
-	// domains has the version of each request that is in force, none of which exceeds asOf.
+	// domains has the version of each request that is in force. A version may exceed asOf: a listing is
+	// read in pages, and asOf is the end of the stream at the first one.
 	domains map[platform.FailureDomain]workload.EvacuationVersion
 	// asOf is the version of the last record that was read; 0 before the first complete listing.
 	asOf workload.EvacuationVersion
@@ -48,13 +49,10 @@
 	r.update(version, func() { delete(r.domains, d) })
 }
 
-// update applies a change by a record of the version, unless the requests include that record already.
+// update applies a change by the record of the version, which follows all records that were read before.
 func (r *Requests) update(version workload.EvacuationVersion, change func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version <= r.asOf {
-		return
-	}
 	if r.domains == nil {
 		r.domains = map[platform.FailureDomain]workload.EvacuationVersion{}
 	}
--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"corianderpass/internal/process/allocation"
+	"corianderpass/internal/process/evacuation"
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/intake"
 	"corianderpass/internal/process/journal"
@@ -56,6 +57,8 @@
 	agents   []*testAgent
 	// maxLease is the longest lease that minions added from now on accept.
 	maxLease time.Duration
+	// evacuationTime is the runner.Settings.EvacuationTime of agents that start from now on.
+	evacuationTime time.Duration
 	// logger receives the log lines of all processes; nil stands for testLogger.
 	logger hclog.Logger
 }
@@ -82,8 +85,8 @@
 func newInstallation(t *testing.T) *installation {
 	return &installation{
 		t: t, startedAt: time.Now(), reservations: map[workload.JobID]workload.Resources{},
-		journals:     map[incarnation.Address]*journal.Journal[workload.Record]{},
-		maxLease:     testMaxLease,
+		journals: map[incarnation.Address]*journal.Journal[workload.Record]{},
+		maxLease: testMaxLease, evacuationTime: 5 * time.Second,
 		nextDuration: func() time.Duration { return 2 * time.Second },
 	}
 }
@@ -170,6 +173,8 @@
 	state   *workload.State
 	permits *permit.Cache
 	leads   func() bool
+	// evacuations are the operators' requests that the entry has read.
+	evacuations evacuation.Requests
 }
 
 // alwaysConfirmed reports at all times that the bundle has just been confirmed as the
@@ -207,7 +212,8 @@
 	e.leads = sch.Leads
 	e.intake = intake.New(intake.Settings{MaxAcceptAge: 4 * time.Second, MaxRefuseAge: 2 * time.Second},
 		e.journal, e.state, register, alwaysConfirmed{in}, in.clock, hclog.NewNullLogger(), metrics.NewSet())
-	e.stop = in.startAll(e.journal.Start, listener.Start, e.permits.Start, sch.Start)
+	recorder := evacuation.New(evacuation.Rank(len(in.entries)), &e.evacuations, e.journal, e.state, in.clock, in.loggerOf(name))
+	e.stop = in.startAll(e.journal.Start, listener.Start, e.permits.Start, recorder.Start, sch.Start)
 	in.entries = append(in.entries, e)
 	return e
 }
@@ -218,7 +224,9 @@
 	minion  *standin.TaskMinion
 	runner  *runner.Runner
 	machine platform.WorkerID
-	in      *installation
+	// domain is the failure domain of the machine.
+	domain platform.FailureDomain
+	in     *installation
 	// stopped is true while the agent does not run. Its minion runs independently of it.
 	stopped bool
 	// draining is true if the minion reports that it drains.
@@ -232,8 +240,13 @@
 
 // addWorker starts a minion and its agent.
 func (in *installation) addWorker(capacity workload.Resources) *testAgent {
+	return in.addWorkerIn("domain", capacity)
+}
+
+// addWorkerIn starts a minion and its agent in the failure domain.
+func (in *installation) addWorkerIn(domain platform.FailureDomain, capacity workload.Resources) *testAgent {
 	n := len(in.agents)
-	a := &testAgent{machine: platform.WorkerID(fmt.Sprint("machine", n)), in: in}
+	a := &testAgent{machine: platform.WorkerID(fmt.Sprint("machine", n)), domain: domain, in: in}
 	a.minion = &standin.TaskMinion{
 		ID: runner.MinionID(fmt.Sprint("minion", n)), Capacity: capacity,
 		Need:        func(r workload.TaskRef) workload.Resources { return in.reservationOf(r.Job) },
@@ -270,7 +283,9 @@
 	in.mu.Lock()
 	in.journals[incarnation.Address(a.machine)] = j
 	in.mu.Unlock()
-	a.runner = runner.New(runner.Settings{Lease: testLease, MaxLease: in.maxLease, Address: incarnation.Address(a.machine)}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
+	a.runner = runner.New(runner.Settings{
+		Lease: testLease, MaxLease: in.maxLease, Address: incarnation.Address(a.machine), FailureDomain: a.domain, EvacuationTime: in.evacuationTime,
+	}, self, j, state, presenceLog{&in.presence, a}, a.minion, in.clock, in.loggerOf(string(a.machine)), metrics.NewSet())
 	a.stopped = false
 	a.stop = in.startAll(j.Start, a.runner.Start, a.reportMinion)
 }
