--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -276,3 +276,25 @@
 		f.wantError(f.apply("entry", workload.Record{Submit: &workload.Submit{Spec: s}}), workload.ErrInvalidJob, name)
 	}
 }
+
+// An entry proposes a request to evacuate that was withdrawn meanwhile. The state must keep the newer
+// withdrawal.
+func TestLateEvacuationChangesNothing(t *testing.T) {
+	s := workload.NewState()
+	for i, c := range []struct {
+		record workload.Evacuate
+		want   error
+		active bool
+	}{
+		{workload.Evacuate{Domain: "d", Version: 5, Active: true}, nil, true},
+		{workload.Evacuate{Domain: "d", Version: 6}, nil, false},
+		{workload.Evacuate{Domain: "d", Version: 5, Active: true}, workload.ErrNoChange, false},
+		{workload.Evacuate{Domain: "d", Version: 7, Active: true}, nil, true},
+		{workload.Evacuate{Domain: "d", Version: 6}, workload.ErrNoChange, true},
+	} {
+		err := s.Apply(journal.Position{Offset: platform.Offset(i + 1)}, workload.Record{Evacuate: &c.record})
+		if !errors.Is(err, c.want) || s.Evacuation("d").Active != c.active {
+			t.Errorf("record %d: got error %v and active %t, want %v and %t", i, err, s.Evacuation("d").Active, c.want, c.active)
+		}
+	}
+}
