--- a/internal/process/evacuation/recorder.go
+++ b/internal/process/evacuation/recorder.go
@@ -38,6 +38,9 @@
 
 	// missingSince is when the state was first found to lack a request; 0 while it lacks none.
 	missingSince time.Duration
+	// failureLogged is true once a failed proposal was logged since missingSince, so that an outage of
+	// the log causes one line.
+	failureLogged bool
 }
 
 // New returns a Recorder that proposes nothing before Start.
@@ -70,7 +73,7 @@
 func (r *Recorder) recordMissing(ctx context.Context) {
 	missing := r.findMissing()
 	if len(missing) == 0 {
-		r.missingSince = 0
+		r.missingSince, r.failureLogged = 0, false
 		return
 	}
 	now := r.clock()
@@ -82,10 +85,12 @@
 	}
 	for _, e := range missing {
 		err := r.propose(ctx, e)
-		if !errors.Is(err, workload.ErrNoChange) {
-			r.logger.Info("record evacuation", "domain", e.Domain, "active", e.Active, "version", e.Version, "runs", r.runsIn(e),
-				"missing_ms", (r.clock() - r.missingSince).Milliseconds(), "error", err)
+		if errors.Is(err, workload.ErrNoChange) || err != nil && r.failureLogged {
+			continue
 		}
+		r.failureLogged = err != nil
+		r.logger.Info("record evacuation", "domain", e.Domain, "active", e.Active, "version", e.Version, "runs", r.runsIn(e),
+			"missing_ms", (r.clock() - r.missingSince).Milliseconds(), "error", err)
 	}
 }
 
