internal/process/runner: find new runs without progress sooner

The minion was polled once a second, and an answer that was delayed until a run ended was dropped if a later poll had been answered, which hid progress. Change: while the pace of a run is unknown the minion is polled every 250 ms, and the run counts as stalled after 0.8 s without progress, or a twentieth of its estimate; progress is taken from the newest answer by the minion's clock.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -30,6 +30,9 @@
 	// clockReadAt is when the status arrived: by then the minion's clock had reached
 	// status.Clock.
 	clockReadAt time.Duration
+	// progressReadAt is the time on the minion's clock of the newest status from which the progress of
+	// runs was taken.
+	progressReadAt MinionClock
 	// latestLeaseEnd is the latest end among all leases that the life may hold.
 	latestLeaseEnd time.Duration
 	// firstToken is the token of the first poll of this life. Once fenced is set, the minion has
@@ -261,12 +264,16 @@
 	l.lastAnswerAt = max(l.lastAnswerAt, receivedAt)
 	l.failedPolls = 0
 	l.unreachable = false
+	if status.Clock > l.progressReadAt {
+		// An answer that was delayed until a run ended may be newer than that to a later poll.
+		l.progressReadAt = status.Clock
+		l.updateProgress(status, receivedAt)
+	}
 	if sentAt < l.statusSentAt {
 		return
 	}
 	l.status, l.statusAt, l.statusSentAt, l.statusToken = status, receivedAt, sentAt, order.Token
 	l.clockReadAt = receivedAt
-	l.updateProgress(receivedAt)
 }
 
 // recordFencing sets fenced once the minion has answered a poll of this life. Until then it may have
--- a/internal/process/runner/progress.go
+++ b/internal/process/runner/progress.go
@@ -16,9 +16,17 @@
 	// under observation before its end is projected.
 	minObservedPercent = 3
 	// A run counts as stalled after stallAfter without progress, or after stallFactor times
-	// the time that one percent has taken on average if that is longer.
+	// the time that one percent has taken on average if that is longer. stallAfter exceeds the
+	// usual time between two polls.
 	stallAfter  = 1200 * time.Millisecond
 	stallFactor = 6
+	// While the time of one percent is not known, a run counts as stalled after newRunStallAfter
+	// without progress, or after stallEstimateShare of the caller's estimate if that is longer.
+	newRunStallAfter   = 800 * time.Millisecond
+	stallEstimateShare = 0.05
+	// newRunPollInterval is the longest time between two polls while the pace of a run is not
+	// known, so that a run that makes no progress is found before it would have ended.
+	newRunPollInterval = 250 * time.Millisecond
 	// minEndChange is how much a projected end must change to be reported again.
 	minEndChange = 800 * time.Millisecond
 )
@@ -36,18 +44,20 @@
 	reportedEnd   time.Duration
 	endReported   bool
 	stallReported bool
+	// estimate is the caller's estimate of the task's duration; 0 if there is none.
+	estimate time.Duration
 }
 
-// updateProgress updates the progress of the started runs from the current status.
-func (l *minionLife) updateProgress(now time.Duration) {
-	for _, s := range l.status.Running {
+// updateProgress updates the progress of the started runs from a status.
+func (l *minionLife) updateProgress(status Status, now time.Duration) {
+	for _, s := range status.Running {
 		run := l.runs[s.Task]
 		if run == nil || run.number != s.Run || run.phase != phaseStarted {
 			continue
 		}
 		p := &run.progress
 		if !p.observed {
-			*p = progress{firstPercent: s.Percent, lastPercent: s.Percent, firstAt: now, lastAt: now, observed: true}
+			*p = progress{firstPercent: s.Percent, lastPercent: s.Percent, firstAt: now, lastAt: now, observed: true, estimate: run.estimate}
 		}
 		if s.Percent > p.lastPercent {
 			p.lastPercent, p.lastAt = s.Percent, now
@@ -66,6 +76,32 @@
 	return elapsed / time.Duration(advanced), true
 }
 
+// stallTime returns how long the run may make no progress before it counts as stalled.
+func (p *progress) stallTime() time.Duration {
+	perPercent, known := p.perPercent()
+	if !known {
+		return max(newRunStallAfter, time.Duration(stallEstimateShare*float64(p.estimate)))
+	}
+	return max(stallAfter, stallFactor*perPercent)
+}
+
+// needsPoll reports whether a run has started whose pace is not known and about which the newest
+// status says nothing recent.
+func (r *Runner) needsPoll(l *minionLife) bool {
+	if r.clock()-l.statusSentAt < newRunPollInterval || l.failedPolls > 0 {
+		return false
+	}
+	for _, run := range l.runs {
+		if run.phase != phaseStarted || run.filler || run.progress.stallReported || run.progress.lastPercent >= completePercent {
+			continue
+		}
+		if _, known := run.progress.perPercent(); !known {
+			return true
+		}
+	}
+	return false
+}
+
 // progressReports returns the progress reports that are due and marks them as reported.
 func (r *Runner) progressReports(l *minionLife) []workload.Progress {
 	now := r.clock()
@@ -89,7 +125,7 @@
 // last report. It stores the returned report as the last one.
 func (p *progress) report(now time.Duration) (workload.Progress, bool) {
 	perPercent, known := p.perPercent()
-	if now-p.lastAt > max(stallAfter, stallFactor*perPercent) {
+	if now-p.lastAt > p.stallTime() {
 		if p.stallReported {
 			return workload.Progress{}, false
 		}
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -42,6 +42,9 @@
 	r.recordEnds(l, v)
 	r.reconcileRuns(l, v)
 	r.adjustPace(l, v)
+	if r.needsPoll(l) {
+		r.pollNow(l)
+	}
 }
 
 // maxStateAge is the age of the runner's copy of the workload from which reconcile neither
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -47,6 +47,8 @@
 	// notBefore is the earliest time of the next start after a refused one.
 	notBefore time.Duration
 	progress  progress
+	// estimate is the caller's estimate of the task's duration; 0 if there is none.
+	estimate time.Duration
 	// stopSentAt is when a stop was last sent.
 	stopSentAt time.Duration
 	// pace is the percentage that the minion has confirmed, and paceSentAt when a pace
@@ -71,7 +73,7 @@
 			run = &runState{number: a.run, pace: fullPace}
 			l.runs[ref] = run
 		}
-		run.filler = a.filler
+		run.filler, run.estimate = a.filler, a.estimate
 		r.settle(l, run, ref)
 		r.reconcileRun(l, v, ref, a, run)
 	}
--- a/internal/process/runner/view.go
+++ b/internal/process/runner/view.go
@@ -36,6 +36,8 @@
 	permit  workload.Permit
 	// checkpointing is set if the task saves checkpoints.
 	checkpointing bool
+	// estimate is the caller's estimate of the task's duration; 0 if there is none.
+	estimate time.Duration
 	// filler is set if the task uses only processor time that other tasks leave idle.
 	filler bool
 	// targetLatency is the highest tail latency that a latency-sensitive task may have; 0 for
@@ -65,7 +67,7 @@
 			v.runs[ref] = assignedRun{
 				run: run, wanted: j.Open() && t.Phase == workload.PhaseRunning,
 				payload: j.Payload, resume: t.Saved, permit: t.Permit, checkpointing: j.Steps[ref.Step].Checkpointing,
-				filler: j.Steps[ref.Step].Filler, targetLatency: j.Steps[ref.Step].TailTarget,
+				estimate: j.Steps[ref.Step].Estimate, filler: j.Steps[ref.Step].Filler, targetLatency: j.Steps[ref.Step].TailTarget,
 			}
 		}
 	})
