--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -12,6 +12,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -137,8 +138,8 @@
 	changed chan struct{}
 	// inFlight holds, by sequence, the groups whose result is not known yet.
 	inFlight map[uint64][]*proposal[R]
-	// down is true from a failed append until the next successful one.
-	down bool
+	// downReason is the error of the newest append if that failed, nil after a successful one.
+	downReason error
 	// lastSnapshot is the last offset that the newest snapshot in the stream covers,
 	// and lastSnapshotReadAt the time at which that snapshot was read. Before a
 	// snapshot has been read they are 0 and the time of Start.
@@ -160,6 +161,10 @@
 	// readNow carries at most one signal, which ends the current or the next pause
 	// between two reads.
 	readNow chan struct{}
+	// readsFail is true from a failed read until the next successful one. Only tailLoop uses it.
+	readsFail bool
+	// probeNow carries at most one signal, which makes writeLoop probe a log that is down.
+	probeNow chan struct{}
 	// appends tracks the append calls in progress.
 	appends sync.WaitGroup
 }
@@ -169,8 +174,28 @@
 	record R
 	// done receives at most one result; nil means that the record took effect.
 	done chan error
+	// claimed is true once the proposal is part of an append or was withdrawn. Whoever sets it
+	// decides which of the two.
+	claimed atomic.Bool
 }
 
+// claim reports whether the proposal was neither part of an append nor withdrawn before.
+func (p *proposal[R]) claim() bool { return p.claimed.CompareAndSwap(false, true) }
+
+// Pending is a proposal whose result may not be known yet.
+type Pending struct {
+	done  <-chan error
+	claim func() bool
+}
+
+// Done returns the channel that receives the result of the proposal, with the meaning that
+// Propose gives it. It receives nothing after a successful Withdraw.
+func (p *Pending) Done() <-chan error { return p.done }
+
+// Withdraw reports whether the proposal was withdrawn. It then is not in the log and never will
+// be. Otherwise it is part of an append.
+func (p *Pending) Withdraw() bool { return p.claim() }
+
 // New returns a journal of the stream that folds into the machine and appends as
 // the writer. It does not use the log before Start.
 func New[R any](log platform.Log, stream platform.Stream, writer incarnation.ID, machine StateMachine[R], options Options) *Journal[R] {
@@ -184,6 +209,7 @@
 		state:    foldedState[R]{machine: machine},
 		changed:  make(chan struct{}),
 		readNow:  make(chan struct{}, 1),
+		probeNow: make(chan struct{}, 1),
 		inFlight: map[uint64][]*proposal[R]{},
 	}
 }
@@ -214,28 +240,41 @@
 // in the log, and ErrFateUnknown if the result cannot be determined, for example
 // because the context ended first.
 func (j *Journal[R]) Propose(ctx context.Context, record R) error {
-	if j.Down() {
-		return fmt.Errorf("journal: propose to %s: %w", j.stream, ErrNotAppended)
-	}
-	p := &proposal[R]{record: record, done: make(chan error, 1)}
-	select {
-	case j.queue <- p:
-	default:
-		return fmt.Errorf("journal: append queue of %s is full: %w", j.stream, ErrNotAppended)
+	p, err := j.Enqueue(record)
+	if err != nil {
+		return err
 	}
 	select {
-	case err := <-p.done:
+	case err := <-p.Done():
 		return err
 	case <-ctx.Done():
 		return fmt.Errorf("journal: propose to %s: %w", j.stream, ErrFateUnknown)
 	}
 }
 
+// Enqueue queues the record for the next append and returns without waiting for the result. An
+// error wraps ErrNotAppended and, if the log is down, the error of the newest append.
+func (j *Journal[R]) Enqueue(record R) (*Pending, error) {
+	if reason := j.DownReason(); reason != nil {
+		return nil, fmt.Errorf("journal: propose to %s: %w: %w", j.stream, ErrNotAppended, reason)
+	}
+	p := &proposal[R]{record: record, done: make(chan error, 1)}
+	select {
+	case j.queue <- p:
+		return &Pending{done: p.done, claim: p.claim}, nil
+	default:
+		return nil, fmt.Errorf("journal: append queue of %s is full: %w", j.stream, ErrNotAppended)
+	}
+}
+
 // Down reports whether the newest append failed.
-func (j *Journal[R]) Down() bool {
+func (j *Journal[R]) Down() bool { return j.DownReason() != nil }
+
+// DownReason returns the error of the newest append if it failed, else nil.
+func (j *Journal[R]) DownReason() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.down
+	return j.downReason
 }
 
 // CaughtUp reports whether the state has included the whole stream at some moment
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -434,3 +434,77 @@
 		}
 	})
 }
+
+// The failure: while the log throttles every append, each probe makes it seem available for 400 ms, so
+// that callers wait for an append that is refused.
+func TestThrottledLogStaysDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := start(t, &standin.Log{AppendsPerSecond: 0.001}, "a", journal.Options{CheckInterval: 250 * time.Millisecond})
+		defer a.stop()
+		if err := a.propose(t, "refused", time.Hour); !errors.Is(err, journal.ErrNotAppended) || !errors.Is(err, platform.ErrThrottled) {
+			t.Fatalf("got result %v, want ErrNotAppended because of ErrThrottled", err)
+		}
+		for range 200 {
+			time.Sleep(10 * time.Millisecond)
+			if !a.Down() {
+				t.Fatal("the log seems available while it throttles every append")
+			}
+		}
+	})
+}
+
+// The failure: a caller is told that its withdrawn proposal is not in the log, and it is appended once
+// the log answers again; or it is told so of a proposal that is part of an append.
+func TestOnlyProposalsThatWereNotSentCanBeWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		a := start(t, log, "a", journal.Options{AppendTimeout: 700 * time.Millisecond})
+		defer a.stop()
+		time.Sleep(time.Second)
+		// Reads have no timeout of their own here, so that the delay must end within the test.
+		log.SetFaults(standin.LogFaults{Delay: 5 * time.Second})
+		sent, err := a.Enqueue("sent")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		waiting, err := a.Enqueue("waiting")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * time.Second)
+		if !waiting.Withdraw() {
+			t.Error("a proposal that waits for the append of another one cannot be withdrawn")
+		}
+		if sent.Withdraw() {
+			t.Error("a proposal that is part of an append was withdrawn")
+		}
+		log.SetFaults(standin.LogFaults{})
+		time.Sleep(10 * time.Second)
+		if a.count("sent") != 1 || a.count("waiting") != 0 {
+			t.Errorf("got counts %d and %d of the sent and the withdrawn record, want 1 and 0", a.count("sent"), a.count("waiting"))
+		}
+	})
+}
+
+// The failure: the log is back, as a read shows, and proposals are still refused until the next periodic
+// check.
+func TestFirstReadAfterOutageEndsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		a := start(t, log, "a", journal.Options{CheckInterval: time.Minute, ReadWait: 10 * time.Millisecond})
+		defer a.stop()
+		time.Sleep(time.Second)
+		log.SetFaults(standin.LogFaults{Down: true})
+		if err := a.propose(t, "during", time.Hour); !errors.Is(err, journal.ErrNotAppended) {
+			t.Fatalf("got result %v, want ErrNotAppended", err)
+		}
+		time.Sleep(3 * time.Second)
+		log.SetFaults(standin.LogFaults{})
+		for deadline := time.Now().Add(300 * time.Millisecond); a.Down(); <-a.Changed() {
+			if time.Now().After(deadline) {
+				t.Fatal("the log is still down 300ms after it is back")
+			}
+		}
+	})
+}
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -49,10 +49,12 @@
 		return 0
 	}
 	if err != nil {
+		j.readsFail = true
 		sleep(ctx, retryPause)
 		return next
 	}
 	j.foldRecords(records, sentAt)
+	j.probeAfterFailedReads()
 	if len(records) > 0 {
 		next = records[len(records)-1].Offset + 1
 		j.pauseReads(ctx)
@@ -60,6 +62,19 @@
 	return next
 }
 
+// probeAfterFailedReads makes writeLoop probe the log at the first successful read after a failed
+// one, rather than at its next check. While reads succeed and appends fail, the checks are enough.
+func (j *Journal[R]) probeAfterFailedReads() {
+	if !j.readsFail {
+		return
+	}
+	j.readsFail = false
+	select {
+	case j.probeNow <- struct{}{}:
+	default:
+	}
+}
+
 // pauseReads waits for Options.ReadPause unless ReadNow ends the wait.
 func (j *Journal[R]) pauseReads(ctx context.Context) {
 	d := j.options.ReadPause()
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,6 +37,8 @@
 			return nil
 		case p := <-j.queue:
 			j.appendGroup(ctx, j.collectGroup(ctx, p))
+		case <-j.probeNow:
+			j.probeIfDown(ctx)
 		case <-ticker.C:
 			j.probeIfDown(ctx)
 			j.advanceTimeIfDue(ctx)
@@ -62,7 +66,12 @@
 	return group
 }
 
+// appendGroup appends the proposals of the group that were not withdrawn.
 func (j *Journal[R]) appendGroup(ctx context.Context, group []*proposal[R]) {
+	group = slices.DeleteFunc(group, func(p *proposal[R]) bool { return !p.claim() })
+	if len(group) == 0 {
+		return
+	}
 	records := make([]R, 0, len(group))
 	for _, p := range group {
 		records = append(records, p.record)
@@ -109,20 +118,24 @@
 	start := j.options.Clock()
 	for {
 		if j.hasFolded(e.Sequence) {
-			j.setDown(false)
+			j.setDownReason(nil)
 			return nil
 		}
 		err := j.tryAppend(ctx, e)
 		throttled := errors.Is(err, platform.ErrThrottled)
 		retryThrottled := throttled && j.options.Clock()-start < throttleRetryTime
-		j.setDown(err != nil && !retryThrottled)
+		// A throttled append that is repeated shows neither that the log accepts appends nor that it
+		// does not.
+		if !retryThrottled {
+			j.setDownReason(err)
+		}
 		if err == nil {
 			return nil
 		}
 		refused := errors.Is(err, platform.ErrLogDown)
 		mayBeAppended = mayBeAppended || !refused && !throttled
 		if !retryThrottled && !mayBeAppended {
-			return errors.WithMessage(ErrNotAppended, "journal: log refused the append")
+			return fmt.Errorf("journal: log refused the append: %w: %w", ErrNotAppended, err)
 		}
 		if ctx.Err() != nil {
 			return ErrFateUnknown
@@ -177,10 +190,10 @@
 	return j.state.writers[j.writer].Sequence >= sequence
 }
 
-func (j *Journal[R]) setDown(down bool) {
+func (j *Journal[R]) setDownReason(reason error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.down = down
+	j.downReason = reason
 }
 
 // probeIfDown appends an empty envelope if the log is down, to find out whether it
@@ -205,7 +218,7 @@
 func (j *Journal[R]) timeAdvanceDue() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.caughtUp || j.down || j.state.offset == 0 {
+	if !j.caughtUp || j.downReason != nil || j.state.offset == 0 {
 		return false
 	}
 	behind := time.Since(time.UnixMilli(j.state.time)) > maxTimeStep
