intake: calls wait for the log or are refused with a delay

Cause: while the log was unavailable, every call was retried for 1 s and then refused with the same delay. Calls behind an append without an answer were kept until their deadline, and their fate was unknown though they were never sent. A second submission of a job whose first one was undecided was refused as not stored.

Calls wait while the log is expected back before their deadline, also for a bundle that is too old, and continue when it is back, urgent ones first. The others are refused immediately with a RetryError. Proposals that were not sent are withdrawn. Submissions with an undecided earlier one are not refused. New log lines, metrics and tests.

--- /dev/null
+++ b/internal/process/intake/export_test.go
@@ -0,0 +1,4 @@
+package intake
+
+// Observe exports the observation of a proposal's result.
+func (s *Service) Observe(err error) { s.observe(err) }
--- a/internal/process/intake/intake.go
+++ b/internal/process/intake/intake.go
@@ -2,7 +2,8 @@
 // bundle in force, proposes the submission and cancellation of jobs to the journal of the
 // workload, and reads the folded workload state. The HTTP handlers for callers use it. It tells
 // a caller that something does not exist only if the bundle and the state are recent, and
-// refuses a submitted job only if the job can never run.
+// refuses a submitted job only if the job can never run. While the log is unavailable, package
+// outage decides which calls wait and when the callers of the others should retry.
 package intake
 
 import (
@@ -16,6 +17,7 @@
 
 	"corianderpass/internal/process/journal"
 	"corianderpass/internal/process/monotonic"
+	"corianderpass/internal/process/outage"
 	"corianderpass/internal/process/workload"
 	"corianderpass/internal/version/bundle"
 )
@@ -68,6 +70,9 @@
 	clock     monotonic.Clock
 	logger    hclog.Logger
 	metrics   *metrics.Set
+	log       logWatch
+	// undecided has the submissions that this entry proposed and whose result is not known yet.
+	undecided undecided
 }
 
 // New returns an intake. state must be the state to which j applies its records.
@@ -88,10 +93,29 @@
 	Version bundle.Version
 }
 
+func (g Grant) priority() outage.Priority { return outage.Priority(g.Queue.Priority) }
+
 // Authorise returns the queue for the host and path, and the organisation that the token
 // belongs to; for public queues it checks no token and leaves the organisation empty. Errors
 // are ErrNotReady, ErrNoQueue and ErrUnauthorised.
 func (s *Service) Authorise(host, path, token string) (Grant, error) {
+	g, err := s.authorise(host, path, token)
+	return g, s.withDelay(err, g.priority())
+}
+
+// AuthoriseOrWait is Authorise for calls that need the log. While the log is unavailable it waits as
+// described at retry.
+func (s *Service) AuthoriseOrWait(ctx context.Context, host, path, token string) (Grant, error) {
+	var g Grant
+	err := s.retry(ctx, func() (outage.Priority, error) {
+		var err error
+		g, err = s.authorise(host, path, token)
+		return g.priority(), err
+	})
+	return g, err
+}
+
+func (s *Service) authorise(host, path, token string) (Grant, error) {
 	current := s.bundles.Current()
 	confirmedAt, known := s.freshness.ConfirmedAt()
 	if current == nil || !known {
@@ -135,6 +159,7 @@
 
 // Ready reports whether this entry can answer callers, and the reason if it cannot.
 func (s *Service) Ready() (bool, string) {
+	s.observe(nil)
 	confirmedAt, known := s.freshness.ConfirmedAt()
 	if !known || s.bundles.Current() == nil {
 		return false, "no bundle is known"
@@ -161,7 +186,7 @@
 	if s.isStored(spec) {
 		return nil
 	}
-	err := s.propose(ctx, workload.Record{Submit: &workload.Submit{Spec: spec}})
+	err := s.submit(ctx, spec)
 	steps := make([]string, 0, len(spec.Steps))
 	for _, step := range spec.Steps {
 		steps = append(steps, step.String())
@@ -173,37 +198,44 @@
 		return nil
 	case errors.Is(err, workload.ErrJobIDTaken):
 		return fmt.Errorf("%w: %w", ErrIDTaken, err)
-	case errors.Is(err, journal.ErrNotAppended):
-		return fmt.Errorf("%w: %w", ErrNotStored, err)
 	}
-	return fmt.Errorf("%w: %w", ErrUnknownFate, err)
+	return s.fateOf(err, outage.Priority(spec.Priority))
 }
 
-const (
-	// outageRetryTime is how long a call retries while the log is down. After this time most
-	// failures of a single process's connection to the log are over or bypassed.
-	outageRetryTime = time.Second
-	// outageRetryDelay is the time between two retries.
-	outageRetryDelay = 100 * time.Millisecond
-)
-
-// propose proposes a record. If it is certain that the log has not appended the record, propose
-// retries for outageRetryTime.
-func (s *Service) propose(ctx context.Context, r workload.Record) error {
-	started := s.clock()
+// submit proposes the submission until it is stored, rejected or refused, or until its fate remains
+// unknown. A call for a job that an earlier call may still have stored is not refused: the refusal would
+// say that the job never runs.
+func (s *Service) submit(ctx context.Context, spec workload.JobSpec) error {
 	for {
-		err := s.journal.Propose(ctx, r)
-		if !errors.Is(err, journal.ErrNotAppended) || s.clock()-started > outageRetryTime {
+		err := s.retry(ctx, func() (outage.Priority, error) {
+			if s.isStored(spec) {
+				return outage.Priority(spec.Priority), nil
+			}
+			return outage.Priority(spec.Priority), s.proposeSubmission(ctx, spec)
+		})
+		if !errors.Is(err, journal.ErrNotAppended) || !s.undecided.has(spec.ID) {
 			return err
 		}
+		changed := s.journal.Changed()
+		if s.isStored(spec) {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
-			return err
-		case <-time.After(outageRetryDelay):
+			return fmt.Errorf("an earlier submission is undecided: %w", journal.ErrFateUnknown)
+		case <-changed:
 		}
 	}
 }
 
+// fateOf returns the error for callers whose proposal was not accepted.
+func (s *Service) fateOf(err error, p outage.Priority) error {
+	if errors.Is(err, journal.ErrNotAppended) {
+		return s.withDelay(fmt.Errorf("%w: %w", ErrNotStored, err), p)
+	}
+	return fmt.Errorf("%w: %w", ErrUnknownFate, err)
+}
+
 // isStored reports whether the state already has a job with the same ID, queue and organisation.
 func (s *Service) isStored(spec workload.JobSpec) bool {
 	stored := false
@@ -217,19 +249,21 @@
 // Cancel ends a job. It returns nil if the job has ended, by this call or earlier. Errors are
 // those of Status, ErrNotStored and ErrUnknownFate.
 func (s *Service) Cancel(ctx context.Context, g Grant, id workload.JobID) error {
-	if _, err := s.Status(g, id); err != nil {
-		return err
-	}
-	err := s.propose(ctx, workload.Record{Cancel: &workload.Cancel{Job: id}})
+	err := s.retry(ctx, func() (outage.Priority, error) {
+		if _, err := s.status(g, id); err != nil {
+			return g.priority(), err
+		}
+		return g.priority(), s.proposeCancellation(ctx, id)
+	})
 	switch {
 	case err == nil || errors.Is(err, workload.ErrJobEnded):
 		return nil
 	case errors.Is(err, workload.ErrUnknownJob):
 		return fmt.Errorf("%w: %s", ErrNoJob, id)
-	case errors.Is(err, journal.ErrNotAppended):
-		return fmt.Errorf("%w: %w", ErrNotStored, err)
+	case errors.Is(err, ErrNotReady), errors.Is(err, ErrNoJob):
+		return err
 	}
-	return fmt.Errorf("%w: %w", ErrUnknownFate, err)
+	return s.fateOf(err, g.priority())
 }
 
 // Status is the part of a job's state that its caller sees.
@@ -242,6 +276,11 @@
 // Status returns the state of a job. Errors are ErrNotReady and ErrNoJob; the outcome of a job
 // that has ended is returned however old the state is.
 func (s *Service) Status(g Grant, id workload.JobID) (Status, error) {
+	status, err := s.status(g, id)
+	return status, s.withDelay(err, g.priority())
+}
+
+func (s *Service) status(g Grant, id workload.JobID) (Status, error) {
 	var status Status
 	known := false
 	s.journal.View(func(time.Time) {
--- a/internal/process/intake/intake_test.go
+++ b/internal/process/intake/intake_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"testing/synctest"
@@ -16,6 +17,7 @@
 	"corianderpass/internal/process/standin"
 	"corianderpass/internal/process/workload"
 	"corianderpass/internal/version/bundle"
+	"corianderpass/pkg/platform"
 )
 
 // fixture is an intake with its log, in virtual time. It implements the BundleFreshness that the
@@ -28,10 +30,30 @@
 	now func() time.Duration
 	// noBundle is true if no bundle was ever confirmed.
 	noBundle bool
+	// followLog makes the bundle as old as the workload state: both come from the same log.
+	followLog bool
+	journal   *journal.Journal[workload.Record]
+	// lines has the log lines of the intake.
+	lines bytes.Buffer
 }
 
 // ConfirmedAt implements intake.BundleFreshness.
-func (d *fixture) ConfirmedAt() (time.Duration, bool) { return d.now() - d.age, !d.noBundle }
+func (d *fixture) ConfirmedAt() (time.Duration, bool) {
+	if d.followLog {
+		return d.journal.CompleteAsOf()
+	}
+	return d.now() - d.age, !d.noBundle
+}
+
+// timeoutLog is a log whose reads time out as those of the platform's store do.
+type timeoutLog struct{ standin.KeyedLog }
+
+// Read implements platform.Log.
+func (l *timeoutLog) Read(ctx context.Context, name platform.Stream, from platform.Offset, limit int, wait time.Duration) ([]platform.LogRecord, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+700*time.Millisecond)
+	defer cancel()
+	return l.KeyedLog.Read(ctx, name, from, limit, wait)
+}
 
 // withIntake runs f in virtual time with an intake that has read its log to the end.
 func withIntake(t *testing.T, f func(t *testing.T, d *fixture)) {
@@ -48,13 +70,14 @@
 			},
 		})
 		state := workload.NewState()
-		j := journal.New(&standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "entry"}, "Workload",
+		j := journal.New(&timeoutLog{standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "entry"}}, "Workload",
 			incarnation.New("entry", time.Now()), journal.StateMachine[workload.Record](state), journal.Options{
-				Clock: d.now, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond,
+				Clock: d.now, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond, CheckInterval: 250 * time.Millisecond,
 				MaySnapshot: func() bool { return false },
 			})
 		d.Service = intake.New(intake.Settings{MaxAcceptAge: 4 * time.Second, MaxRefuseAge: 2 * time.Second},
-			j, state, register, d, d.now, hclog.NewNullLogger(), metrics.NewSet())
+			j, state, register, d, d.now, hclog.New(&hclog.LoggerOptions{Output: &d.lines}), metrics.NewSet())
+		d.journal = j
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := j.Start(ctx)
 		time.Sleep(time.Second)
