--- a/internal/process/evacuation/requests.go
+++ b/internal/process/evacuation/requests.go
@@ -86,7 +86,7 @@
 	defer r.mu.Unlock()
 	var missing []workload.Evacuate
 	for d, version := range r.domains {
-		if e := recorded[d]; !e.Active && e.Version < version {
+		if recorded[d].Version < version {
 			missing = append(missing, workload.Evacuate{Domain: d, Version: version, Active: true})
 		}
 	}
--- a/internal/process/workload/evacuation.go
+++ b/internal/process/workload/evacuation.go
@@ -59,10 +59,16 @@
 
 func (s *State) evacuate(at journal.Position, r Evacuate) error {
 	current := s.evacuations[r.Domain]
-	if r.Version <= current.Version || r.Active == current.Active {
+	if r.Version <= current.Version || !r.Active && !current.Active {
 		return fmt.Errorf("%w: evacuation of %s, active %t, version %d; the state has %t, version %d", ErrNoChange, r.Domain, r.Active, r.Version,
 			current.Active, current.Version)
 	}
-	s.evacuations[r.Domain] = Evacuation{Version: r.Version, Active: r.Active, Since: at.Time.UnixMilli()}
+	next := Evacuation{Version: r.Version, Active: r.Active, Since: at.Time.UnixMilli()}
+	if current.Active && r.Active {
+		// A repeated request only raises the version, so that a withdrawal of the earlier request, proposed
+		// by an entry that is behind, does not end it.
+		next.Since = current.Since
+	}
+	s.evacuations[r.Domain] = next
 	return nil
 }
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -277,8 +277,8 @@
 	}
 }
 
-// An entry proposes a request to evacuate that was withdrawn meanwhile. The state must keep the newer
-// withdrawal.
+// An entry that is behind proposes a request to evacuate that was withdrawn meanwhile, or a withdrawal of
+// an earlier request than the one in force. The state must keep the newer one.
 func TestLateEvacuationChangesNothing(t *testing.T) {
 	s := workload.NewState()
 	for i, c := range []struct {
@@ -291,6 +291,8 @@
 		{workload.Evacuate{Domain: "d", Version: 5, Active: true}, workload.ErrNoChange, false},
 		{workload.Evacuate{Domain: "d", Version: 7, Active: true}, nil, true},
 		{workload.Evacuate{Domain: "d", Version: 6}, workload.ErrNoChange, true},
+		{workload.Evacuate{Domain: "d", Version: 9, Active: true}, nil, true},
+		{workload.Evacuate{Domain: "d", Version: 8}, workload.ErrNoChange, true},
 	} {
 		err := s.Apply(journal.Position{Offset: platform.Offset(i + 1)}, workload.Record{Evacuate: &c.record})
 		if !errors.Is(err, c.want) || s.Evacuation("d").Active != c.active {
