--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,14 +48,20 @@
 	runLog        standin.RunLog
 	adviser       testAdviser
 	startedAt     time.Time
-	// mu guards nextDuration, reservations and journals.
+	// mu guards nextDuration, reservations, journals and firstStarts.
 	mu           sync.Mutex
 	nextDuration func() time.Duration
 	reservations map[workload.JobID]workload.Resources
 	// journals holds the newest journal of each agent.
 	journals map[incarnation.Address]*journal.Journal[workload.Record]
-	entries  []*testEntry
-	agents   []*testAgent
+	// firstStarts holds when the first run of each job started.
+	firstStarts map[workload.JobID]time.Duration
+	entries     []*testEntry
+	// rankOf returns the scheduler.Settings.Rank of the entry with the number.
+	rankOf func(number int) int
+	// entryReadPause is the pause of entries that do not lead between two reads of the stream.
+	entryReadPause time.Duration
+	agents         []*testAgent
 	// maxLease is the longest lease that minions added from now on accept.
 	maxLease time.Duration
 	// evacuationTime is the runner.Settings.EvacuationTime of agents that start from now on.
@@ -85,8 +92,8 @@
 func newInstallation(t *testing.T) *installation {
 	return &installation{
 		t: t, startedAt: time.Now(), reservations: map[workload.JobID]workload.Resources{},
-		journals: map[incarnation.Address]*journal.Journal[workload.Record]{},
-		maxLease: testMaxLease, evacuationTime: 5 * time.Second,
+		journals: map[incarnation.Address]*journal.Journal[workload.Record]{}, firstStarts: map[workload.JobID]time.Duration{},
+		maxLease: testMaxLease, evacuationTime: 5 * time.Second, rankOf: func(number int) int { return number },
 		nextDuration: func() time.Duration { return 2 * time.Second },
 	}
 }
@@ -104,12 +111,24 @@
 	in.setDurations(func() time.Duration { return d })
 }
 
-func (in *installation) taskDuration() time.Duration {
+// recordStart records the start of a run of the task and returns its duration.
+func (in *installation) recordStart(task workload.TaskRef) time.Duration {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if _, started := in.firstStarts[task.Job]; !started {
+		in.firstStarts[task.Job] = in.clock()
+	}
 	return in.nextDuration()
 }
 
+// firstStart returns when the first run of the job started, and false if none has.
+func (in *installation) firstStart(id workload.JobID) (time.Duration, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	at, started := in.firstStarts[id]
+	return at, started
+}
+
 // setReservation sets the resources that the minions reserve for each task of the job: those
 // of its first step.
 func (in *installation) setReservation(s workload.JobSpec) {
@@ -148,31 +167,37 @@
 	return &standin.KeyedLog{Log: &in.log, Index: &in.newestRecords, Writer: name}
 }
 
-// startAll starts all parts of a process and returns the function that stops them.
+// startAll starts all parts of a process and returns the function that stops them. Only its first call
+// has an effect.
 func (in *installation) startAll(starts ...func(context.Context) <-chan error) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	var ended []<-chan error
 	for _, start := range starts {
 		ended = append(ended, start(ctx))
 	}
-	return func() {
+	return sync.OnceFunc(func() {
 		cancel()
 		for _, e := range ended {
 			if err := <-e; err != nil {
 				in.t.Error(err)
 			}
 		}
-	}
+	})
 }
 
 // testEntry is an entry process without its interface to callers.
 type testEntry struct {
 	process
-	intake  *intake.Service
-	journal *journal.Journal[workload.Record]
-	state   *workload.State
-	permits *permit.Cache
-	leads   func() bool
+	in *installation
+	// name is the name of the machine and also the address of the entry.
+	name      string
+	number    int
+	intake    *intake.Service
+	journal   *journal.Journal[workload.Record]
+	state     *workload.State
+	permits   *permit.Cache
+	scheduler *scheduler.Scheduler
+	leads     func() bool
 	// evacuations are the operators' requests that the entry has read.
 	evacuations evacuation.Requests
 }
@@ -190,32 +215,79 @@
 	}
 }
 
+// addEntry starts an entry on a new machine.
 func (in *installation) addEntry() *testEntry {
-	name := fmt.Sprint("entry", len(in.entries))
-	e := &testEntry{state: workload.NewState()}
-	e.log = in.newLog(name + fmt.Sprint(time.Now().UnixNano()))
-	self := incarnation.New(name, time.Now())
+	number := len(in.entries)
+	e := &testEntry{in: in, name: fmt.Sprint("entry", number), number: number}
+	in.entries = append(in.entries, e)
+	e.start()
+	return e
+}
+
+// start starts a new incarnation of the entry.
+func (e *testEntry) start() {
+	in := e.in
+	e.state = workload.NewState()
+	e.log = in.newLog(e.name + fmt.Sprint(time.Now().UnixNano()))
+	self := incarnation.New(e.name, time.Now())
 	register := &bundle.Register{}
 	register.Adopt(1, testBundle())
 	listener := presence.NewListener(&in.presence, in.clock)
 	var sch *scheduler.Scheduler
-	e.permits = permit.New(&in.adviser, in.clock, in.loggerOf(name))
+	e.permits = permit.New(&in.adviser, in.clock, in.loggerOf(e.name))
 	e.journal = journal.New(e.log, "Workload", self, journal.StateMachine[workload.Record](e.state), journal.Options{
 		Clock: in.clock, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond,
 		MaySnapshot: func() bool { return sch.Leads() },
+		ReadPause: func() time.Duration {
+			if sch.Leads() {
+				return 0
+			}
+			return in.entryReadPause
+		},
 	})
 	sch = scheduler.New(scheduler.Settings{
 		Allocation: allocation.Rules{FarFactor: 3}, SuspectAfter: 2500 * time.Millisecond,
-		LapseAfter: testLease + 500*time.Millisecond, Retention: time.Minute, Rank: len(in.entries),
-	}, self, e.journal, e.state, listener, register, e.permits, in.clock, in.loggerOf(name), in.notify)
+		LapseAfter: testLease + 500*time.Millisecond, Retention: time.Minute, Rank: in.rankOf(e.number),
+	}, self, e.journal, e.state, listener, register, e.permits, in.clock, in.loggerOf(e.name), in.notify)
 	e.state.SetObserver(sch.Observe)
+	e.scheduler = sch
 	e.leads = sch.Leads
 	e.intake = intake.New(intake.Settings{MaxAcceptAge: 4 * time.Second, MaxRefuseAge: 2 * time.Second},
 		e.journal, e.state, register, alwaysConfirmed{in}, in.clock, hclog.NewNullLogger(), metrics.NewSet())
-	recorder := evacuation.New(evacuation.Rank(len(in.entries)), &e.evacuations, e.journal, e.state, in.clock, in.loggerOf(name))
-	e.stop = in.startAll(e.journal.Start, listener.Start, e.permits.Start, recorder.Start, sch.Start)
-	in.entries = append(in.entries, e)
-	return e
+	recorder := evacuation.New(evacuation.Rank(e.number), &e.evacuations, e.journal, e.state, in.clock, in.loggerOf(e.name))
+	j, state := e.journal, e.state
+	join := func(ctx context.Context) <-chan error {
+		return repeat(ctx, time.Second, func() {
+			joinOnce(ctx, j, state, workload.Entry{Node: e.name, ID: self, Address: incarnation.Address(e.name)})
+		})
+	}
+	e.stop = in.startAll(e.journal.Start, listener.Start, e.permits.Start, recorder.Start, join, sch.Start)
+}
+
+// joinOnce records the entry in the state unless it is listed there.
+func joinOnce(ctx context.Context, j *journal.Journal[workload.Record], state *workload.State, self workload.Entry) {
+	listed := false
+	j.View(func(time.Time) { listed = slices.Contains(state.Entries(), self) })
+	if j.CaughtUp() && !listed {
+		// A failed proposal is repeated by the next call.
+		_ = j.Propose(ctx, workload.Record{Join: &workload.Join{Entry: self}})
+	}
+}
+
+// repeat calls f at the interval until the context ends. The channel then receives nil.
+func repeat(ctx context.Context, interval time.Duration, f func()) <-chan error {
+	ended := make(chan error, 1)
+	go func() {
+		for ctx.Err() == nil {
+			f()
+			select {
+			case <-ctx.Done():
+			case <-time.After(interval):
+			}
+		}
+		ended <- nil
+	}()
+	return ended
 }
 
 // testAgent is an agent process with the stand-in of its minion.
@@ -250,7 +322,7 @@
 	a.minion = &standin.TaskMinion{
 		ID: runner.MinionID(fmt.Sprint("minion", n)), Capacity: capacity,
 		Need:        func(r workload.TaskRef) workload.Resources { return in.reservationOf(r.Job) },
-		RunDuration: func(workload.TaskRef, workload.Run) time.Duration { return in.taskDuration() }, StopTime: 200 * time.Millisecond,
+		RunDuration: func(task workload.TaskRef, _ workload.Run) time.Duration { return in.recordStart(task) }, StopTime: 200 * time.Millisecond,
 		OnViolation: func(text string) { in.t.Errorf("minion broke a rule after %v: %s", in.clock(), text) }, RunLog: &in.runLog, MaxLease: in.maxLease,
 		Permitted: func(o runner.Start) bool { return in.adviser.acceptsStart(a.minion, o) },
 	}
@@ -314,22 +386,13 @@
 // reportMinion sends the minion's status report to the agent every reportInterval, which a
 // real minion does itself.
 func (a *testAgent) reportMinion(ctx context.Context) <-chan error {
-	ended := make(chan error, 1)
-	go func() {
-		for ctx.Err() == nil {
-			a.sequence++
-			a.runner.Announce(ctx, runner.Announcement{
-				ID: a.minion.ID, Born: a.minion.Born(), Machine: a.machine, Service: "service", Rack: "rack",
-				Labels: []string{"a", "rack"}, Room: a.minion.Capacity, Draining: a.draining.Load(), Remaining: 2500 * time.Millisecond, Sequence: a.sequence,
-			})
-			select {
-			case <-ctx.Done():
-			case <-time.After(reportInterval):
-			}
-		}
-		ended <- nil
-	}()
-	return ended
+	return repeat(ctx, reportInterval, func() {
+		a.sequence++
+		a.runner.Announce(ctx, runner.Announcement{
+			ID: a.minion.ID, Born: a.minion.Born(), Machine: a.machine, Service: "service", Rack: "rack",
+			Labels: []string{"a", "rack"}, Room: a.minion.Capacity, Draining: a.draining.Load(), Remaining: 2500 * time.Millisecond, Sequence: a.sequence,
+		})
+	})
 }
 
 func (in *installation) stop() {
