workload: a Resign record names the successor

A leader that stops could not say who should lead next. The validity of records does not depend on it, and builds without the field ignore it.

--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -39,7 +39,12 @@
 
 // Resign ends a leadership. Another entry can then take over leadership without waiting until
 // the decisions of the leader are overdue.
-type Resign struct{ Term Term }
+type Resign struct {
+	Term Term
+	// Successor is the entry that should lead next; empty if the leader names none. It only decides
+	// which entry proposes first: a Lead record of any other entry is as valid as its own.
+	Successor incarnation.ID `json:",omitempty"`
+}
 
 // Submit adds a job.
 type Submit struct{ Spec JobSpec }
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -64,6 +64,8 @@
 	term Term
 	// leader is empty before the first Lead and after a Resign.
 	leader incarnation.ID
+	// successor is the entry that the last leader named when it resigned; empty while there is a leader.
+	successor incarnation.ID
 	// leaderRecordCount is not replicated: each process counts from its own start.
 	leaderRecordCount uint64
 	jobs              map[JobID]*Job
@@ -100,6 +102,10 @@
 // current term, which is 0 before the first leader.
 func (s *State) Leader() (incarnation.ID, Term) { return s.leader, s.term }
 
+// Successor returns the entry that the last leader named when it resigned. It is empty while there is a
+// leader, and if none was named.
+func (s *State) Successor() incarnation.ID { return s.successor }
+
 // LeaderRecordCount returns a number that rises when a record that only a leader
 // proposes takes effect, or a snapshot is restored. It differs between processes.
 func (s *State) LeaderRecordCount() uint64 { return s.leaderRecordCount }
@@ -202,6 +208,7 @@
 	}
 	s.term = l.Term
 	s.leader = at.Writer
+	s.successor = ""
 	return nil
 }
 
@@ -210,6 +217,7 @@
 		return err
 	}
 	s.leader = ""
+	s.successor = r.Successor
 	return nil
 }
 
@@ -301,18 +309,20 @@
 
 // snapshotData is the JSON form of a state.
 type snapshotData struct {
-	Term    Term
-	Leader  incarnation.ID
-	Jobs    map[JobID]*Job
-	Workers map[LifeID]*Worker
-	Entries []Entry
+	Term   Term
+	Leader incarnation.ID
+	// Successor is missing in snapshots of older builds.
+	Successor incarnation.ID `json:",omitempty"`
+	Jobs      map[JobID]*Job
+	Workers   map[LifeID]*Worker
+	Entries   []Entry
 	// Evacuations is missing in snapshots of older builds.
 	Evacuations map[platform.FailureDomain]Evacuation `json:",omitempty"`
 }
 
 // MarshalSnapshot implements journal.StateMachine.
 func (s *State) MarshalSnapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshotData{Term: s.term, Leader: s.leader, Jobs: s.jobs, Workers: s.workers, Entries: s.entries, Evacuations: s.evacuations})
+	data, err := json.Marshal(snapshotData{Term: s.term, Leader: s.leader, Successor: s.successor, Jobs: s.jobs, Workers: s.workers, Entries: s.entries, Evacuations: s.evacuations})
 	if err != nil {
 		return nil, fmt.Errorf("workload: encode snapshot: %w", err)
 	}
@@ -327,7 +337,7 @@
 		return fmt.Errorf("workload: decode snapshot: %w", err)
 	}
 	restored := NewState()
-	restored.term, restored.leader = d.Term, d.Leader
+	restored.term, restored.leader, restored.successor = d.Term, d.Leader, d.Successor
 	restored.entries = d.Entries
 	maps.Copy(restored.evacuations, d.Evacuations)
 	for id, w := range d.Workers {
