succession, scheduler, command: named successor, calls to an overdue leader, no waits for ticks

A stopping leader was followed by whichever entry had the lowest hash, at its next tick and after its rank; a dead leader was noticed only by 350 ms of silence; a new leader decided at its next tick.

Package succession now decides without I/O when an entry leads. A stopping leader asks the entries that joined last whether they may lead, names the first that may, and makes it read the record. Entries call a leader whose decisions are due for 120 ms; a refused connection shortens the wait, another incarnation at its address ends it. Entries take turns by the order in which they joined, without ties. The next decision is made at once after a change of the leader.

--- a/internal/process/command/platform.go
+++ b/internal/process/command/platform.go
@@ -223,6 +223,7 @@
 		LapseAfter:   leaseDuration(s) + lapseMargin,
 		Retention:    2 * s.Bounds.StatusRetention,
 		Rank:         rankOf(s),
+		Address:      link.Address(s.LinkAddress),
 	}
 }
 
@@ -248,6 +249,12 @@
 	}
 }
 
+func provideCallEntry(pool *link.Pool) scheduler.CallEntry {
+	return func(ctx context.Context, address link.Address, query scheduler.StatusQuery) (scheduler.Status, error) {
+		return link.Call[scheduler.Status](ctx, pool, address, scheduler.MethodStatus, query)
+	}
+}
+
 // leaderStatus makes the scheduler's Leads available to the journal, which must exist before
 // the scheduler. leads is nil until newPlatformEntry sets it.
 type leaderStatus struct{ leads func() bool }
--- a/internal/process/command/platform_entry.go
+++ b/internal/process/command/platform_entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"time"
@@ -53,6 +54,7 @@
 ) *platformEntry {
 	status.leads = sch.Leads
 	entries.readFrom(j, state)
+	maps.Copy(handlers, sch.Handlers())
 	e := &platformEntry{
 		settings: s, journal: j, scheduler: sch, listener: listener, permits: permits, operatorWatch: operatorWatch, evacuations: evacuations, callers: callers, metrics: metricSet, logger: logger,
 		path: path, pool: pool, handlers: handlers, state: state, self: self,
--- a/internal/process/command/wire.go
+++ b/internal/process/command/wire.go
@@ -50,7 +50,7 @@
 func initializePlatformEntry(s adapter.Settings, logger hclog.Logger) *platformEntry {
 	wire.Build(
 		commonProviders, provideEntryJournal, provideSchedulerSettings, provideIntakeSettings,
-		wire.Struct(new(leaderStatus)), wire.Struct(new(bundle.Register)), wire.Struct(new(evacuation.Requests)), provideRelayHandlers, provideNotify,
+		wire.Struct(new(leaderStatus)), wire.Struct(new(bundle.Register)), wire.Struct(new(evacuation.Requests)), provideRelayHandlers, provideNotify, provideCallEntry,
 		wire.Bind(new(platform.KeyedLog), new(*relay.KeyedLog)),
 		presence.NewListener, scheduler.New, intake.New, adapter.NewOperatorWatcher, adapter.NewCallerServer, newPlatformEntry,
 		wire.Bind(new(intake.BundleFreshness), new(*adapter.OperatorWatcher)),
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
@@ -24,6 +25,7 @@
 	"corianderpass/internal/process/monotonic"
 	"corianderpass/internal/process/permit"
 	"corianderpass/internal/process/presence"
+	"corianderpass/internal/process/succession"
 	"corianderpass/internal/process/workload"
 	"corianderpass/internal/version/bundle"
 )
@@ -35,22 +37,6 @@
 	// decisionInterval is the time between two decisions while the state does not
 	// change: due times, leases and missing heartbeats depend on the time alone.
 	decisionInterval = 100 * time.Millisecond
-	// takeoverDelay is how long a decision may be due before another entry becomes leader.
-	// A leader needs some tens of milliseconds to propose a decision. An unnecessary
-	// takeover costs one round of decisions.
-	takeoverDelay = 350 * time.Millisecond
-	// queryTakeoverDelay is how long a query to the adviser may be open without a record
-	// of the leader before another entry becomes leader and sends the query. A leader that
-	// waits for the adviser proposes a record after a third of this time.
-	queryTakeoverDelay = 4 * time.Second
-	// takeoverLogCalls times the latency of the log is the minimum delay of a takeover. It
-	// takes four calls until this entry sees a decision: the leader reads the change,
-	// appends the decision and reads it back, and this entry reads it. The fifth allows
-	// for calls that wait for each other.
-	takeoverLogCalls = 5
-	// takeoverRankStep is multiplied by the rank of an entry and added to its takeover
-	// delay, so that entries do not take over at the same time.
-	takeoverRankStep = 120 * time.Millisecond
 	// proposeTimeout bounds the wait for the result of a proposal.
 	proposeTimeout = 3 * time.Second
 	// maxStateAge is the maximum age of a state on which decisions are made: the time
@@ -68,9 +54,11 @@
 	LapseAfter time.Duration
 	// Retention is how long ended jobs and lives are kept in the state.
 	Retention time.Duration
-	// Rank is the position of this entry in the order in which entries take over leadership,
-	// counted from 0. An entry of a higher rank waits longer.
+	// Rank orders the entries that are not listed in the state when they take over leadership, from 0.
+	// An entry of a higher rank waits longer.
 	Rank int
+	// Address is the address at which other entries call this one.
+	Address incarnation.Address
 }
 
 // Notify makes the agent at the address read the stream immediately, because the stream has a
@@ -93,11 +81,13 @@
 	clock    monotonic.Clock
 	logger   hclog.Logger
 	notify   Notify
+	call     CallEntry
+	metrics  *metrics.Set
 	// notifications counts the calls of notify that have not returned.
 	notifications sync.WaitGroup
 
-	// resigned is true once Resign was called.
-	resigned atomic.Bool
+	// leaving is true once Resign was called, and resigned once its Resign record, if any, is proposed.
+	leaving, resigned atomic.Bool
 
 	// history is guarded by the journal's lock. Only the goroutine of Start uses the
 	// fields below it. Their times are readings of clock.
@@ -112,11 +102,10 @@
 	// ended or a life was gone.
 	jobsEndedAt  map[workload.JobID]time.Duration
 	livesEndedAt map[workload.LifeID]time.Duration
-	// overdueSince is when this process, while not leader, found a decision or query to be
-	// due; 0 if none is. Each record of the leader sets it to the current time again.
-	overdueSince time.Duration
-	// overdueRecordCount is the State.LeaderRecordCount at overdueSince.
-	overdueRecordCount uint64
+	// monitor decides when this process becomes leader.
+	monitor succession.Monitor
+	// answers receives the results of calls to the leader.
+	answers chan answer
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
 	// delays and heldBack are those of the last decision. loggedDelays has whether the logged delays were
@@ -131,11 +120,11 @@
 // called for every event of the state. The clock measures all intervals.
 func New(s Settings, self incarnation.ID, j *journal.Journal[workload.Record], state *workload.State,
 	listener *presence.Listener, bundles *bundle.Register, permits *permit.Cache, clock monotonic.Clock, logger hclog.Logger,
-	notify Notify,
+	notify Notify, call CallEntry, metricSet *metrics.Set,
 ) *Scheduler {
 	return &Scheduler{
 		settings: s, self: self, journal: j, state: state, presence: listener, bundles: bundles, permits: permits, clock: clock,
-		logger: logger.Named("scheduler"), notify: notify,
+		logger: logger.Named("scheduler"), notify: notify, call: call, metrics: metricSet, answers: make(chan answer, 1),
 		suspectedAt: map[workload.LifeID]time.Duration{}, wasPresent: map[workload.LifeID]bool{},
 		jobsEndedAt: map[workload.JobID]time.Duration{}, livesEndedAt: map[workload.LifeID]time.Duration{},
 	}
@@ -165,25 +154,19 @@
 }
 
 // Start makes decisions in the background until the context ends. The channel receives nil
-// once the last decision and all notifications have ended.
+// once the last decision, all calls and all notifications have ended.
 func (s *Scheduler) Start(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
 		ticker := time.NewTicker(decisionInterval)
 		defer ticker.Stop()
 		for ctx.Err() == nil {
-			changed := s.journal.Changed()
-			if !s.decideOnce(ctx) {
-				// An entry that does not lead need not decide immediately; decisionInterval is
-				// short enough.
-				changed = nil
-			}
-			select {
-			case <-ctx.Done():
-			case <-ticker.C:
-			case <-s.permits.Changed():
-			case <-changed:
-				sleep(ctx, decisionDelay)
+			changed, complete := s.journal.Changed(), s.journal.CaughtUp()
+			leads, again := s.decideOnce(ctx)
+			if leads {
+				s.awaitAsLeader(ctx, ticker.C, changed)
+			} else {
+				s.awaitAsFollower(ctx, ticker.C, changed, complete, again)
 			}
 		}
 		s.notifications.Wait()
@@ -192,6 +175,17 @@
 	return ended
 }
 
+// awaitAsLeader waits until the next decision of the leader is due.
+func (s *Scheduler) awaitAsLeader(ctx context.Context, tick <-chan time.Time, changed <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-tick:
+	case <-s.permits.Changed():
+	case <-changed:
+		sleep(ctx, decisionDelay)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -200,39 +194,50 @@
 }
 
 // decideOnce decides once. If this process leads, it proposes the decisions; otherwise it
-// takes over leadership if the leader is overdue. It does nothing after Resign, while the log is
+// becomes leader if the monitor decides so. It does nothing after Resign, while the log is
 // down and while the state is older than maxStateAge. It reports whether this process
-// decided as leader.
-func (s *Scheduler) decideOnce(ctx context.Context) bool {
-	freshAt, ok := s.journal.CompleteAsOf()
-	if s.resigned.Load() || !ok || s.clock()-freshAt > maxStateAge || s.journal.Down() {
-		s.overdueSince = 0
-		return false
+// leads now, and otherwise after what time the monitor must decide again, 0 if at no
+// particular time.
+func (s *Scheduler) decideOnce(ctx context.Context) (leads bool, again time.Duration) {
+	if s.resigned.Load() {
+		s.resignAgain(ctx)
+		return false, 0
+	}
+	if !s.mayLead() {
+		s.monitor.Reset()
+		return false, 0
 	}
 	var due []workload.Record
 	var queries []permit.Query
 	var leader incarnation.ID
 	var term workload.Term
-	var recordCount uint64
+	situation := succession.Situation{Now: s.clock(), Self: s.self, LogLatency: s.presence.LogLatency()}
 	s.journal.View(func(time.Time) {
 		leader, term = s.state.Leader()
-		recordCount = s.state.LeaderRecordCount()
 		due, queries = s.decide(term)
+		s.describeSuccession(&situation)
 	})
-	switch {
-	case leader == s.self:
+	if leader == s.self {
+		s.monitor.Reset()
 		s.logDelays()
 		s.logHeldBack()
 		s.permits.SetQueries(queries)
 		s.proposeAsLeader(ctx, term, due, queries)
+		return true, 0
+	}
+	switch {
 	case len(due) > 0:
-		s.takeOverIfOverdue(ctx, leader, term, recordCount, takeoverDelay)
+		situation.Demand = succession.DemandDecision
 	case len(queries) > 0:
-		s.takeOverIfOverdue(ctx, leader, term, recordCount, queryTakeoverDelay)
-	default:
-		s.overdueSince = 0
+		situation.Demand = succession.DemandQuery
 	}
-	return leader == s.self
+	return s.follow(ctx, situation)
+}
+
+// mayLead reports whether the state is young enough and the log accepts appends, as far as is known.
+func (s *Scheduler) mayLead() bool {
+	freshAt, ok := s.journal.CompleteAsOf()
+	return ok && s.clock()-freshAt <= maxStateAge && !s.journal.Down()
 }
 
 // Leads reports whether this process is the leader in its own copy of the state, which
@@ -246,31 +251,16 @@
 	return leads
 }
 
-// Resign stops all decisions. If this process leads, it proposes a Resign record, so that
-// another entry becomes leader after the delay of its rank alone.
-func (s *Scheduler) Resign(ctx context.Context) {
-	s.resigned.Store(true)
-	var leader incarnation.ID
-	var term workload.Term
-	s.journal.View(func(time.Time) { leader, term = s.state.Leader() })
-	if leader != s.self {
-		return
-	}
-	err := s.propose(ctx, workload.Record{Resign: &workload.Resign{Term: term}})
-	s.logger.Info("give up the lead", "term", term, "error", err)
-}
-
 // proposeAsLeader proposes what is due. If nothing is due but queries to the adviser are
-// open, it proposes a Lead record after a third of queryTakeoverDelay without a proposal.
+// open, it proposes a Lead record after succession.KeepAliveInterval without a proposal.
 // Otherwise the other entries would see no record of this leader and take over leadership.
 func (s *Scheduler) proposeAsLeader(ctx context.Context, term workload.Term, due []workload.Record, queries []permit.Query) {
-	s.overdueSince = 0
 	now := s.clock()
 	switch {
 	case len(due) > 0:
 		s.lastProposedAt = now
 		s.proposeAll(ctx, due)
-	case len(queries) > 0 && now-s.lastProposedAt > queryTakeoverDelay/3:
+	case len(queries) > 0 && now-s.lastProposedAt > succession.KeepAliveInterval:
 		s.lastProposedAt = now
 		if err := s.propose(ctx, workload.Record{Lead: &workload.Lead{Term: term + 1}}); err != nil {
 			s.logger.Debug("record that prevents a takeover was not recorded", "term", term+1, "error", err)
@@ -278,30 +268,6 @@
 	}
 }
 
-// takeOverIfOverdue takes over leadership if a decision or a query to the adviser has been
-// due for longer than a limit and the leader has recorded nothing in that time. The limit is
-// delay, or the latency of takeoverLogCalls calls to the log if that is longer, plus
-// takeoverRankStep times this entry's rank. Without a leader the limit is only the part for
-// the rank.
-func (s *Scheduler) takeOverIfOverdue(ctx context.Context, leader incarnation.ID, term workload.Term, recordCount uint64, delay time.Duration) {
-	now := s.clock()
-	wait := max(delay, takeoverLogCalls*s.presence.LogLatency()) + time.Duration(s.settings.Rank)*takeoverRankStep
-	if leader == "" {
-		wait = time.Duration(s.settings.Rank) * takeoverRankStep
-	}
-	// Only records of the leader restart the wait: records of other writers do not show
-	// that the leader still decides.
-	if s.overdueSince == 0 || s.overdueRecordCount != recordCount {
-		s.overdueSince, s.overdueRecordCount = now, recordCount
-	}
-	if now-s.overdueSince < wait {
-		return
-	}
-	s.overdueSince = 0
-	err := s.propose(ctx, workload.Record{Lead: &workload.Lead{Term: term + 1}})
-	s.logger.Info("take the lead", "term", term+1, "from", leader, "overdue_ms", wait.Milliseconds(), "error", err)
-}
-
 // proposeAll proposes all records concurrently and waits for the results. It notifies
 // the agents that a recorded decision concerns.
 func (s *Scheduler) proposeAll(ctx context.Context, due []workload.Record) {
