--- a/internal/process/standin/keyed.go
+++ b/internal/process/standin/keyed.go
@@ -120,6 +120,11 @@
 	if err := k.Log.beginCall(ctx); err != nil {
 		return 0, err
 	}
+	return k.store(stream, key, payload)
+}
+
+// store stores a record with the key and updates the index.
+func (k *KeyedLog) store(stream platform.Stream, key platform.Key, payload []byte) (platform.Offset, error) {
 	k.Index.lock()
 	defer k.Index.mu.Unlock()
 	offset, stored, err := k.Log.store(stream, encodeRecord(key, payload))
@@ -172,18 +177,21 @@
 	return records, span.Next, nil
 }
 
-// Replace implements platform.KeyedLog.
+// Replace implements platform.KeyedLog. It is one call, which takes the delay of the log once.
 func (k *KeyedLog) Replace(ctx context.Context, stream platform.Stream, payloads [][]byte, remove []platform.Key) error {
 	if k.isDown() {
 		return platform.ErrLogDown
 	}
+	if err := k.Log.beginCall(ctx); err != nil {
+		return err
+	}
 	for _, p := range payloads {
-		if _, err := k.append(ctx, stream, k.newKey("s"), p); err != nil {
+		if _, err := k.store(stream, k.newKey("s"), p); err != nil {
 			return err
 		}
 	}
 	for _, key := range remove {
-		if _, err := k.append(ctx, stream, key, nil); err != nil {
+		if _, err := k.store(stream, key, nil); err != nil {
 			return err
 		}
 	}
