command: an entry joins as soon as its state is complete

The first check whether the state lists the entry came before the state was complete, the second a second later. A leader that stopped in that second named an entry that had not been restarted: 3 and 4 changes of the leader instead of 2 in a rolling restart in virtual time.

--- a/internal/process/command/platform_entry.go
+++ b/internal/process/command/platform_entry.go
@@ -145,7 +145,8 @@
 
 // join records the node and link address of this entry in the workload state, so that other
 // processes can reach the log through this entry. Until the context ends, it checks at each
-// joinInterval whether the state lists the entry and, if not, proposes the record again.
+// joinInterval whether the state lists the entry and, if not, proposes the record again. The first check
+// is as soon as the state is complete, since a leader that stops names the entry that joined last.
 // The returned channel then receives nil.
 func (e *platformEntry) join(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
@@ -153,8 +154,13 @@
 	go func() {
 		for ctx.Err() == nil {
 			listed := false
+			changed := e.journal.Changed()
 			e.journal.View(func(time.Time) { listed = slices.Contains(e.state.Entries(), self) })
-			if _, caughtUp := e.journal.CompleteAsOf(); caughtUp && !listed {
+			caughtUp := e.journal.CaughtUp()
+			if caughtUp {
+				changed = nil
+			}
+			if caughtUp && !listed {
 				callCtx, cancel := context.WithTimeout(ctx, joinInterval)
 				err := e.journal.Propose(callCtx, workload.Record{Join: &workload.Join{Entry: self}})
 				cancel()
@@ -163,6 +169,7 @@
 			select {
 			case <-ctx.Done():
 			case <-time.After(joinInterval):
+			case <-changed:
 			}
 		}
 		ended <- nil
