succession, scheduler: a leader that decides otherwise is not replaced

Entries learn durations and failures by themselves, so that an entry may find something due that the leader holds back. Its silence was then taken for overdue decisions. The reply to a call now contains the offset of the last decision, if that is recent and all its records took effect; if it includes what is due, the wait begins again. Found by reading the code; tested in the module only.

--- a/internal/process/scheduler/lead.go
+++ b/internal/process/scheduler/lead.go
@@ -13,6 +13,7 @@
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/succession"
 	"corianderpass/internal/process/workload"
+	"corianderpass/pkg/platform"
 )
 
 // MethodStatus is the method with which entries ask each other whether they run and may lead.
@@ -29,6 +30,9 @@
 	ID incarnation.ID
 	// MayLead is true if the entry does not stop, its state is young and the log accepts its appends.
 	MayLead bool
+	// DecidedAt is the offset of the state of its last decision as leader of which it proposed nothing in
+	// vain; 0 if that was longer ago than recentDecision.
+	DecidedAt platform.Offset `json:",omitempty"`
 }
 
 // CallEntry calls MethodStatus at the address of an entry. It must be safe for concurrent use.
@@ -38,11 +42,20 @@
 	// statusTimeout bounds a call to another entry. Entries in other regions answer within tens of
 	// milliseconds, also over a new connection.
 	statusTimeout = 200 * time.Millisecond
+	// recentDecision is the age up to which a decision shows that the leader still decides. It decides
+	// at each decisionInterval, and later only while it waits for the log.
+	recentDecision = 250 * time.Millisecond
 	// candidateLimit is the number of entries that a leader asks before it names a successor: some
 	// may have ended without a trace in the state.
 	candidateLimit = 4
 )
 
+// decision is the time of a decision as leader and the offset of the state on which it decided.
+type decision struct {
+	at     time.Duration
+	offset platform.Offset
+}
+
 // answer is the result of a call to a leader.
 type answer struct {
 	leader   incarnation.ID
@@ -61,7 +74,11 @@
 	if q.ReadNow {
 		s.journal.ReadNow()
 	}
-	return Status{ID: s.self, MayLead: !s.leaving.Load() && s.mayLead()}
+	status := Status{ID: s.self, MayLead: !s.leaving.Load() && s.mayLead()}
+	if d := s.lastDecision.Load(); d != nil && s.clock()-d.at <= recentDecision {
+		status.DecidedAt = d.offset
+	}
+	return status
 }
 
 // describeSuccession sets the fields of the situation that follow from the state. The journal's lock must
@@ -87,7 +104,7 @@
 func (s *Scheduler) follow(ctx context.Context, situation succession.Situation) (leads bool, again time.Duration) {
 	step := s.monitor.Next(situation)
 	if step.CallLeader {
-		s.callLeader(ctx, situation.Leader)
+		s.callLeader(ctx, situation.Leader, step.DueAt)
 	}
 	if !step.Lead {
 		return false, step.Again
@@ -104,8 +121,8 @@
 	return err == nil, step.Again
 }
 
-// callLeader calls the leader in the background. The loop of Start passes the result to the monitor.
-func (s *Scheduler) callLeader(ctx context.Context, leader incarnation.ID) {
+// callLeader calls the leader in the background; dueAt is the offset that its last decision must include. The loop of Start passes the result to the monitor.
+func (s *Scheduler) callLeader(ctx context.Context, leader incarnation.ID, dueAt platform.Offset) {
 	var address incarnation.Address
 	s.journal.View(func(time.Time) { address = s.addressOf(leader) })
 	if address == "" {
@@ -114,7 +131,7 @@
 	s.notifications.Go(func() {
 		a := answer{leader, succession.EvidenceEnded}
 		if address != s.settings.Address {
-			a.evidence = s.askLeader(ctx, leader, address)
+			a.evidence = s.askLeader(ctx, leader, address, dueAt)
 		}
 		select {
 		case s.answers <- a:
@@ -125,7 +142,7 @@
 }
 
 // askLeader calls the leader and returns what the result shows.
-func (s *Scheduler) askLeader(ctx context.Context, leader incarnation.ID, address incarnation.Address) succession.Evidence {
+func (s *Scheduler) askLeader(ctx context.Context, leader incarnation.ID, address incarnation.Address, dueAt platform.Offset) succession.Evidence {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	status, err := s.call(ctx, address, StatusQuery{})
@@ -135,8 +152,10 @@
 		evidence = succession.EvidenceRefused
 	case err == nil && status.ID != leader:
 		evidence = succession.EvidenceEnded
+	case err == nil && status.DecidedAt >= dueAt && status.DecidedAt > 0:
+		evidence = succession.EvidenceDecides
 	}
-	s.logger.Debug("leader was called", "leader", leader, "address", address, "may_lead", status.MayLead, "error", err)
+	s.logger.Debug("leader was called", "leader", leader, "address", address, "decided_at", status.DecidedAt, "due_at", dueAt, "error", err)
 	return evidence
 }
 
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -88,6 +88,9 @@
 
 	// leaving is true once Resign was called, and resigned once its Resign record, if any, is proposed.
 	leaving, resigned atomic.Bool
+	// lastDecision is the last decision of this process as leader whose records, if any, all took effect;
+	// nil before the first.
+	lastDecision atomic.Pointer[decision]
 
 	// history is guarded by the journal's lock. Only the goroutine of Start uses the
 	// fields below it. Their times are readings of clock.
@@ -212,6 +215,7 @@
 	var leader incarnation.ID
 	var term workload.Term
 	situation := succession.Situation{Now: s.clock(), Self: s.self, LogLatency: s.presence.LogLatency()}
+	offset := s.journal.Offset()
 	s.journal.View(func(time.Time) {
 		leader, term = s.state.Leader()
 		due, queries = s.decide(term)
@@ -222,9 +226,12 @@
 		s.logDelays()
 		s.logHeldBack()
 		s.permits.SetQueries(queries)
-		s.proposeAsLeader(ctx, term, due, queries)
+		if s.proposeAsLeader(ctx, term, due, queries) {
+			s.lastDecision.Store(&decision{at: s.clock(), offset: offset})
+		}
 		return true, 0
 	}
+	situation.Offset = s.journal.Offset()
 	switch {
 	case len(due) > 0:
 		situation.Demand = succession.DemandDecision
@@ -254,23 +261,25 @@
 // proposeAsLeader proposes what is due. If nothing is due but queries to the adviser are
 // open, it proposes a Lead record after succession.KeepAliveInterval without a proposal.
 // Otherwise the other entries would see no record of this leader and take over leadership.
-func (s *Scheduler) proposeAsLeader(ctx context.Context, term workload.Term, due []workload.Record, queries []permit.Query) {
+// It reports whether all decisions took effect.
+func (s *Scheduler) proposeAsLeader(ctx context.Context, term workload.Term, due []workload.Record, queries []permit.Query) bool {
 	now := s.clock()
 	switch {
 	case len(due) > 0:
 		s.lastProposedAt = now
-		s.proposeAll(ctx, due)
+		return s.proposeAll(ctx, due)
 	case len(queries) > 0 && now-s.lastProposedAt > succession.KeepAliveInterval:
 		s.lastProposedAt = now
 		if err := s.propose(ctx, workload.Record{Lead: &workload.Lead{Term: term + 1}}); err != nil {
 			s.logger.Debug("record that prevents a takeover was not recorded", "term", term+1, "error", err)
 		}
 	}
+	return true
 }
 
 // proposeAll proposes all records concurrently and waits for the results. It notifies
-// the agents that a recorded decision concerns.
-func (s *Scheduler) proposeAll(ctx context.Context, due []workload.Record) {
+// the agents that a recorded decision concerns. It reports whether all records took effect.
+func (s *Scheduler) proposeAll(ctx context.Context, due []workload.Record) bool {
 	results := make(chan error, len(due))
 	for _, r := range due {
 		go func() {
@@ -283,9 +292,11 @@
 			results <- err
 		}()
 	}
+	recorded := true
 	for range due {
-		<-results
+		recorded = <-results == nil && recorded
 	}
+	return recorded
 }
 
 // agentAddresses returns the addresses of the agents that must start or stop runs for
--- a/internal/process/succession/succession.go
+++ b/internal/process/succession/succession.go
@@ -10,6 +10,7 @@
 
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/workload"
+	"corianderpass/pkg/platform"
 )
 
 const (
@@ -64,6 +65,10 @@
 	// EvidenceEnded means that another incarnation runs at the leader's address, so that the leader's
 	// process has certainly ended.
 	EvidenceEnded
+	// EvidenceDecides means that the leader has just decided on a state that included what was due, and
+	// did not propose it. Entries may disagree, since each learns durations and failures by itself; the
+	// leader is right.
+	EvidenceDecides
 )
 
 // Cause is why an entry became leader.
@@ -100,6 +105,8 @@
 	Address incarnation.Address
 	Rank    int
 	Demand  Demand
+	// Offset is the offset of the state.
+	Offset platform.Offset
 	// LogLatency is how long a call to the log takes.
 	LogLatency time.Duration
 }
@@ -115,6 +122,9 @@
 	Since time.Duration
 	// CallLeader is true if the entry must call the leader and pass the result to Record.
 	CallLeader bool
+	// DueAt is the offset of the state in which this entry first found that something was due, while
+	// CallLeader is true.
+	DueAt platform.Offset
 	// Again is the time until the next step is due if nothing changes; 0 if none is.
 	Again time.Duration
 }
@@ -125,6 +135,8 @@
 	// since is when the leader was first found to be missing or overdue; valid while waiting is true.
 	since   time.Duration
 	waiting bool
+	// dueAt is the offset of the state at since.
+	dueAt platform.Offset
 	// leader, term and records are those at since. Each record of the leader restarts the wait.
 	leader  incarnation.ID
 	term    workload.Term
@@ -144,8 +156,12 @@
 
 // Record adds the result of a call to the leader. It has no effect if another entry has become leader.
 func (m *Monitor) Record(leader incarnation.ID, e Evidence) {
-	if m.waiting && m.leader == leader {
-		m.evidence = e
+	if !m.waiting || m.leader != leader {
+		return
+	}
+	m.evidence = e
+	if e == EvidenceDecides {
+		m.waiting = false
 	}
 }
 
@@ -167,7 +183,7 @@
 		return Step{}
 	}
 	if restart || !m.waiting {
-		m.since, m.waiting, m.called, m.evidence = s.Now, true, false, EvidenceNone
+		m.since, m.dueAt, m.waiting, m.called, m.evidence = s.Now, s.Offset, true, false, EvidenceNone
 	}
 	if named {
 		return m.lead(s, CauseNamed)
@@ -179,7 +195,7 @@
 		return m.lead(s, cause)
 	case m.callDue(s):
 		m.called, m.calledAt = true, s.Now
-		return Step{CallLeader: true, Again: min(limit-elapsed, callInterval)}
+		return Step{CallLeader: true, DueAt: m.dueAt, Again: min(limit-elapsed, callInterval)}
 	case s.Leader != "" && !m.called:
 		return Step{Again: min(limit, m.callDelay()) - elapsed}
 	}
--- a/internal/process/succession/succession_test.go
+++ b/internal/process/succession/succession_test.go
@@ -75,6 +75,7 @@
 		{"refused", succession.EvidenceRefused, func(*succession.Situation) {}, 120 * time.Millisecond, succession.CauseEnded},
 		{"refused while the log is slow", succession.EvidenceRefused, func(s *succession.Situation) { s.LogLatency = 400 * time.Millisecond }, 2 * time.Second, succession.CauseEnded},
 		{"another incarnation", succession.EvidenceEnded, func(s *succession.Situation) { s.LogLatency = 400 * time.Millisecond }, 130 * time.Millisecond, succession.CauseEnded},
+		{"leader decides otherwise", succession.EvidenceDecides, func(*succession.Situation) {}, never, ""},
 		{"query open", succession.EvidenceNone, func(s *succession.Situation) { s.Demand = succession.DemandQuery }, 4 * time.Second, succession.CauseOverdue},
 		{"nothing due", succession.EvidenceEnded, func(s *succession.Situation) { s.Demand = succession.DemandNone }, never, ""},
 	} {
