--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -162,6 +162,27 @@
 	f.wantError(f.apply("leader", workload.Record{Resign: &workload.Resign{Term: 2}}), workload.ErrNotLeader, "resignation by the previous leader")
 }
 
+// A leader names a successor when it resigns. If the name decided which Lead record is valid, a successor that is
+// gone would leave the installation without a leader, and builds that ignore the name would reach another state.
+func TestSuccessorDoesNotDecideValidity(t *testing.T) {
+	f := newFixture(t)
+	f.mustApply(workload.Record{Resign: &workload.Resign{Term: 1, Successor: "named"}})
+	data, err := f.state.MarshalSnapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := workload.NewState()
+	if err := restored.RestoreSnapshot(data); err != nil || restored.Successor() != "named" {
+		t.Errorf("restored state: got successor %q, error %v, want named", restored.Successor(), err)
+	}
+	if err := f.apply("rival", workload.Record{Lead: &workload.Lead{Term: 2}}); err != nil {
+		t.Errorf("Lead of another entry than the successor: got error %v, want none", err)
+	}
+	if leader, _ := f.state.Leader(); leader != "rival" || f.state.Successor() != "" {
+		t.Errorf("got leader %q and successor %q, want rival and none", leader, f.state.Successor())
+	}
+}
+
 // An agent may have withdrawn the suspicion and renewed leases by the time the leader's
 // Lapse is applied. If the Lapse took effect then, tasks whose runs still execute would
 // start a second time elsewhere.
