simulation: gangs of whole workers, scenario with scarce memory

Cause: no scenario has tasks that take half of a worker's memory, and gangs could not need whole workers, so that none measures what placements leave to such tasks. Change: the class field GangWorkers allows gangs of whole workers; without it, arrivals are drawn as before.

--- a/internal/process/simulation/arrivals.go
+++ b/internal/process/simulation/arrivals.go
@@ -137,7 +137,7 @@
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
-		step.Gang = width > 1 && accelerators < s.Room.Accelerators && width*accelerators <= 2*s.Room.Accelerators && r.Float64() < c.Gang
+		step.Gang = s.canBeGang(c, width, accelerators) && r.Float64() < c.Gang
 		step.SameRack = step.Gang && r.Float64() < c.OneRack
 		work := make([]time.Duration, width)
 		points := make([][]float64, width)
@@ -167,6 +167,15 @@
 	return a
 }
 
+// canBeGang reports whether a step of class c with width tasks that each need the given number of
+// accelerators can be a gang.
+func (s *Scenario) canBeGang(c *Class, width, accelerators int) bool {
+	if c.GangWorkers > 0 {
+		return width > 1 && width*accelerators <= c.GangWorkers*s.Room.Accelerators
+	}
+	return width > 1 && accelerators < s.Room.Accelerators && width*accelerators <= 2*s.Room.Accelerators
+}
+
 // waves returns the number of rounds, one after the other, in which the tasks of a step
 // run if together they may use a quarter of all accelerators and memory.
 func (s *Scenario) waves(step workload.StepSpec) int {
--- a/internal/process/simulation/simulation_test.go
+++ b/internal/process/simulation/simulation_test.go
@@ -74,3 +74,26 @@
 		}
 	}
 }
+
+// A scenario with GangWorkers must contain gangs that need several whole workers, or it does not measure
+// what placements leave to them.
+func TestGangWorkersAllowsGangsOfWholeWorkers(t *testing.T) {
+	s := loadScenario(t, "scarce-memory.toml")
+	largest := 0
+	_, err := simulation.SimulateDay(&s, 1, func(in allocation.Input) allocation.Decision {
+		for _, j := range in.State.OpenJobs() {
+			for _, step := range j.Steps {
+				if step.Gang && step.Need.Accelerators == s.Room.Accelerators {
+					largest = max(largest, step.Tasks)
+				}
+			}
+		}
+		return allocation.Decide(in)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if limit := s.Classes[1].GangWorkers; largest < 8 || largest > limit {
+		t.Errorf("got a largest gang of %d whole workers, want 8 to %d", largest, limit)
+	}
+}
