--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -37,7 +37,7 @@
 	if assignments := pack(u, p.keepAllowed(nearHosts, allowed), capacity); assignments != nil {
 		return assignments
 	}
-	if fits(u, nearHosts, capacityWhenEmpty) && p.worthWaiting(u) {
+	if pack(u, nearHosts, capacityWhenEmpty) != nil && p.worthWaiting(u) {
 		return nil
 	}
 	return pack(u, allowed, capacity)
@@ -53,7 +53,7 @@
 	fitsOneRack := false
 	for _, key := range p.serviceRacks(u) {
 		hosts := p.racks[key]
-		if fits(u, hosts, capacityWhenEmpty) {
+		if pack(u, hosts, capacityWhenEmpty) != nil {
 			fitsOneRack = true
 		}
 		assignments := pack(u, p.keepAllowed(hosts, allowed), capacity)
@@ -103,17 +103,6 @@
 	return 0
 }
 
-// fits reports whether pack finds hosts for all members of the unit.
-func fits(u *unit, hosts []*host, capacity capacityFunc) bool {
-	total := 0
-	for _, h := range hosts {
-		if total += h.maxMembers(u, capacity); total >= len(u.members) {
-			return true
-		}
-	}
-	return false
-}
-
 // pack assigns the members of the unit to the hosts with the lowest placement cost. It returns
 // nil if not all members fit.
 func pack(u *unit, hosts []*host, capacity capacityFunc) []assignment {
@@ -129,14 +118,11 @@
 			continue
 		}
 		total += n
-		candidates = append(candidates, candidate{assignment: assignment{h, n}})
+		candidates = append(candidates, candidate{assignment{h, n}, u.placementCost(h, capacity(h), n)})
 	}
 	if total < len(u.members) {
 		return nil
 	}
-	for i, c := range candidates {
-		candidates[i].cost = u.placementCost(c.host, capacity(c.host), c.count)
-	}
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		switch {
 		case a.cost < b.cost:
@@ -165,10 +151,9 @@
 const colocationCost = 1.0
 
 // placementCost returns how badly count members of the unit fit the capacity of a host; lower is
-// better. It adds what the placement strands to what it leaves unused, both in shares of a worker.
+// better.
 func (u *unit) placementCost(h *host, capacity workload.Resources, count int) float64 {
-	reservation := u.total(count)
-	cost := unusedShare(capacity, reservation, h.worker.Room) + h.strandingCost(capacity, reservation, count)
+	cost := unusedShare(capacity, u.total(count), h.worker.Room)
 	if u.step.Filler && h.worker.Room.Cores > 0 {
 		// Fillers use idle cores, however much of the worker is reserved.
 		cost = -float64(h.idleCores) / float64(h.worker.Room.Cores)
--- a/internal/process/allocation/headroom.go
+++ b/internal/process/allocation/headroom.go
@@ -111,7 +111,7 @@
 		c.noted = map[workload.StepRef]bool{}
 	}
 	c.noted[step] = true
-	if hosts := p.hostsFor(u); len(hosts) < len(p.hosts) && fits(u, p.hosts, capacityNow) {
+	if hosts := p.hostsFor(u); len(hosts) < len(p.hosts) && pack(u, p.hosts, capacityNow) != nil {
 		p.decision.HeldBack = append(p.decision.HeldBack, HeldBack{
 			Job: u.job.ID, Occurrence: step.Occurrence, Demand: p.demandBefore(u), Workers: len(hosts), AllWorkers: len(p.hosts), Slack: u.rank.slack,
 		})
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -34,10 +34,6 @@
 	idleCores                      millicores
 	// placed counts the tasks that this round placed on the host, by step.
 	placed map[workload.StepRef]int
-	// stranding values the free capacity of the host's service.
-	stranding *stranding
-	// strandedCost is a cache of strandingCost.
-	strandedCost strandedCost
 }
 
 // rackKey identifies a rack of one service's workers.
@@ -70,7 +66,6 @@
 		key := rackKey{h.worker.Service, h.worker.Rack}
 		p.racks[key] = append(p.racks[key], h)
 	}
-	p.setStrandings()
 	return p
 }
 
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -63,14 +63,14 @@
 // the unit would not fit there even on empty workers; if no rack remains, it returns all hosts.
 func (p *plan) hostGroups(u *unit) [][]*host {
 	if u.step.Rack != "" {
-		if near := p.racks[rackKey{u.job.Service, u.step.Rack}]; fits(u, near, capacityWhenEmpty) {
+		if near := p.racks[rackKey{u.job.Service, u.step.Rack}]; pack(u, near, capacityWhenEmpty) != nil {
 			return [][]*host{near}
 		}
 	}
 	if u.step.SameRack && len(u.members) > 1 {
 		var groups [][]*host
 		for _, key := range p.serviceRacks(u) {
-			if fits(u, p.racks[key], capacityWhenEmpty) {
+			if pack(u, p.racks[key], capacityWhenEmpty) != nil {
 				groups = append(groups, p.racks[key])
 			}
 		}
