internal/process/presence, scheduler: a slow log is no evidence against workers

Suspected workers get no tasks and no lease renewals. The logged silence was that since the start of the process, because the contact was dropped before the line was written. Change: a worker is suspected after the usual silence and ten times the peak latency of the log, which halves in about 3 s. The line has the silence on which the decision was made.

--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -65,8 +65,9 @@
 	readingSince time.Duration
 	lastRead     time.Duration
 	reading      bool
-	// latency is the smoothed duration of a read.
-	latency time.Duration
+	// latency is the smoothed duration of a read. peakLatency falls more slowly: by an eighth with each
+	// read, half of it in about 3 s.
+	latency, peakLatency time.Duration
 }
 
 // NewListener returns a listener without any recorded heartbeats. It does not read before Start.
@@ -127,6 +128,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.latency = max(d, (l.latency+d)/2)
+	l.peakLatency = max(d, l.peakLatency*7/8)
+}
+
+// slowLogCalls times the peak latency of the log is the silence that a slow log explains: a heartbeat is
+// appended after those of other agents that wait, and some are refused and lost.
+const slowLogCalls = 10
+
+// ExpectedDelay returns how much longer than usual the silence of a life may be because the log is slow or
+// was slow some seconds ago.
+func (l *Listener) ExpectedDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slowLogCalls * l.peakLatency
 }
 
 // LogLatency returns how long a read of the log currently takes, failed reads included. An increase
--- a/internal/process/scheduler/decide.go
+++ b/internal/process/scheduler/decide.go
@@ -40,18 +40,21 @@
 }
 
 // superviseWorkers returns a Suspect record for each worker without a heartbeat in the last
-// SuspectAfter, and a Lapse record for each worker that has been suspected for LapseAfter,
+// SuspectAfter and the delay that the log explains, and a Lapse record for each worker that has been suspected for LapseAfter,
 // after which its leases have expired.
 func (s *Scheduler) superviseWorkers(term workload.Term, now time.Duration) []workload.Record {
 	var due []workload.Record
+	clear(s.silences)
+	limit := s.settings.SuspectAfter + s.presence.ExpectedDelay()
 	for id, w := range s.state.Workers() {
 		s.updatePresence(w)
 		if w.Gone {
 			continue
 		}
 		if !w.Suspected {
-			if s.presence.Silence(id) >= s.settings.SuspectAfter {
+			if silence := s.presence.Silence(id); silence >= limit {
 				due = append(due, workload.Record{Suspect: &workload.Suspect{Term: term, Life: id}})
+				s.silences[id] = silence
 				// If the agent withdraws the suspicion before the next decision, then
 				// updatePresence counts the withdrawal as a heartbeat.
 				s.wasPresent[id] = false
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -101,6 +101,8 @@
 	// wasPresent holds whether a life was present at the previous decision, which means
 	// neither gone nor suspected. Lives that the state does not contain have no entry.
 	wasPresent map[workload.LifeID]bool
+	// silences has the silence of each life for which the last decision was a Suspect record.
+	silences map[workload.LifeID]time.Duration
 	// jobsEndedAt and livesEndedAt hold when this process first found that a job had
 	// ended or a life was gone.
 	jobsEndedAt  map[workload.JobID]time.Duration
@@ -128,7 +130,7 @@
 	return &Scheduler{
 		settings: s, self: self, journal: j, state: state, presence: listener, bundles: bundles, permits: permits, clock: clock,
 		logger: logger.Named("scheduler"), notify: notify, call: call, metrics: metricSet, answers: make(chan answer, 1),
-		suspectedAt: map[workload.LifeID]time.Duration{}, wasPresent: map[workload.LifeID]bool{},
+		suspectedAt: map[workload.LifeID]time.Duration{}, wasPresent: map[workload.LifeID]bool{}, silences: map[workload.LifeID]time.Duration{},
 		jobsEndedAt: map[workload.JobID]time.Duration{}, livesEndedAt: map[workload.LifeID]time.Duration{},
 	}
 }
@@ -361,7 +363,7 @@
 	case r.Stop != nil:
 		s.logger.Info("stop", "task", r.Stop.Task.String(), "run", r.Stop.Run, "reason", r.Stop.Reason, "term", r.Stop.Term, "outcome", outcome)
 	case r.Suspect != nil:
-		s.logger.Warn("suspect", "worker", r.Suspect.Life, "silence_ms", s.presence.Silence(r.Suspect.Life).Milliseconds(), "outcome", outcome)
+		s.logger.Warn("suspect", "worker", r.Suspect.Life, "silence_ms", s.silences[r.Suspect.Life].Milliseconds(), "outcome", outcome)
 	case r.Lapse != nil:
 		s.logger.Warn("lapse", "worker", r.Lapse.Life, "after_ms", s.settings.LapseAfter.Milliseconds(), "outcome", outcome)
 	}
