--- a/internal/process/presence/presence.go
+++ b/internal/process/presence/presence.go
@@ -133,7 +133,7 @@
 
 // slowLogCalls times the peak latency of the log is the silence that a slow log explains: a heartbeat is
 // appended after those of other agents that wait, and some are refused and lost.
-const slowLogCalls = 10
+const slowLogCalls = 16
 
 // ExpectedDelay returns how much longer than usual the silence of a life may be because the log is slow or
 // was slow some seconds ago.
