--- a/internal/process/simulation/arrivals.go
+++ b/internal/process/simulation/arrivals.go
@@ -144,6 +144,10 @@
 		longest := time.Duration(0)
 		for k := range work {
 			work[k] = time.Duration(base * logNormal(r, c.Uneven))
+			// Without a tail nothing is drawn, so that the days of other scenarios stay the same.
+			if c.Tail > 0 && r.Float64() < c.Tail {
+				work[k] = time.Duration(float64(work[k]) * c.TailTimes)
+			}
 			withFailures := float64(work[k])
 			for len(points[k]) < c.Attempts-1 && r.Float64() < c.Failing {
 				part := r.Float64()
--- a/internal/process/simulation/runs.go
+++ b/internal/process/simulation/runs.go
@@ -170,7 +170,7 @@
 	refs := slices.SortedFunc(maps.Keys(d.runs), workload.TaskRef.Compare)
 	for _, ref := range refs {
 		r := d.runs[ref]
-		if d.now-r.startedAt < minProgressAge || r.stopping {
+		if d.now-r.startedAt < minProgressAge || r.stopping || d.arrivals[ref.Job].class.NoProgress {
 			continue
 		}
 		remaining := r.endsAt - d.now
