internal/process/allocation: remaining time from the distribution of the queue's durations

Cause: a run in the tail seemed to end immediately once its expected duration had passed, so that units waited for it again and again. Signatures are unchanged; without observed runs the result is as before.

--- a/internal/process/allocation/duration_model.go
+++ b/internal/process/allocation/duration_model.go
@@ -54,6 +54,8 @@
 	estimates, durations, overruns moments
 	// work has the expected work of submitted jobs in core-seconds.
 	work moments
+	// ratios is the distribution of the durations of finished runs relative to the expected ones.
+	ratios ratioHistogram
 }
 
 // addEstimate adds the estimate of a step. An estimate of 0 means that there is none.
--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -91,9 +91,9 @@
 		return max(observed.endsAt-now, 0)
 	}
 	if observed.stalled {
-		return max(h.ExpectedDuration(j, r.Step)-h.Elapsed(r, now), 0) + stallDuration
+		return h.expectedRemaining(j, r, now) + stallDuration
 	}
-	return max(h.ExpectedDuration(j, r.Step)-h.Elapsed(r, now), 0)
+	return h.expectedRemaining(j, r, now)
 }
 
 // workerHistory is what was observed of one worker.
@@ -282,11 +282,6 @@
 	if duration <= 0 {
 		return
 	}
-	observed := h.recordDuration(r, h.runs[r].worker, duration)
-	if observed.counted {
-		return
-	}
-	observed.counted = true
 	if h.durationModels == nil {
 		h.durationModels = map[bundle.QueueName]*durationModel{}
 	}
@@ -295,6 +290,12 @@
 		model = &durationModel{}
 		h.durationModels[j.Queue] = model
 	}
+	h.recordRatio(model, h.ExpectedDuration(j, r.Step), duration, r)
+	observed := h.recordDuration(r, h.runs[r].worker, duration)
+	if observed.counted {
+		return
+	}
+	observed.counted = true
 	model.addDuration(j.Steps[r.Step].Estimate, duration)
 }
 
