--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -125,6 +125,9 @@
 	loggedDelays   changeFilter[delayKey, bool]
 	heldBack       []allocation.HeldBack
 	loggedHeldBack changeFilter[delayKey, struct{}]
+	// quarantines are those of the last decision.
+	quarantines       []allocation.Quarantine
+	loggedQuarantines changeFilter[workload.LifeID, quarantineValue]
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -223,6 +226,7 @@
 	case leader == s.self:
 		s.logDelays()
 		s.logHeldBack()
+		s.logQuarantines()
 		s.permits.SetQueries(queries)
 		s.proposeAsLeader(ctx, term, due, queries)
 	case len(due) > 0:
