--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -119,6 +119,9 @@
 	overdueRecordCount uint64
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
+	// restarts are those of the last decision.
+	restarts       []allocation.Restart
+	loggedRestarts changeFilter[workload.StepRef, restartValue]
 	// delays and heldBack are those of the last decision. loggedDelays has whether the logged delays were
 	// missed.
 	delays         []allocation.Delay
@@ -228,6 +231,7 @@
 		s.logHeldBack()
 		s.logQuarantines()
 		s.permits.SetQueries(queries)
+		s.logRestarts()
 		s.proposeAsLeader(ctx, term, due, queries)
 	case len(due) > 0:
 		s.takeOverIfOverdue(ctx, leader, term, recordCount, takeoverDelay)
