--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -111,12 +111,18 @@
 	answers chan answer
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
+	// restarts are those of the last decision.
+	restarts       []allocation.Restart
+	loggedRestarts changeFilter[workload.StepRef, restartValue]
 	// delays and heldBack are those of the last decision. loggedDelays has whether the logged delays were
 	// missed.
 	delays         []allocation.Delay
 	loggedDelays   changeFilter[delayKey, bool]
 	heldBack       []allocation.HeldBack
 	loggedHeldBack changeFilter[delayKey, struct{}]
+	// quarantines are those of the last decision.
+	quarantines       []allocation.Quarantine
+	loggedQuarantines changeFilter[workload.LifeID, quarantineValue]
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -225,7 +231,9 @@
 		s.monitor.Reset()
 		s.logDelays()
 		s.logHeldBack()
+		s.logQuarantines()
 		s.permits.SetQueries(queries)
+		s.logRestarts()
 		if s.proposeAsLeader(ctx, term, due, queries) {
 			s.lastDecision.Store(&decision{at: s.clock(), offset: offset})
 		}
