--- a/internal/process/simulation/scenario.go
+++ b/internal/process/simulation/scenario.go
@@ -111,16 +111,13 @@
 	// the jobs that are cancelled, Failing the share of the runs that fail, and Hopeless
 	// the share of the jobs whose runs all fail. All are from 0 to 1.
 	Gang, OneRack, Checkpointing, Cancelled, Failing, Hopeless float64
-<<<<<<< HEAD
 	// Tail is the share of the tasks that take TailTimes as long as drawn from Uneven.
 	Tail, TailTimes float64
 	// NoProgress is true if agents report no remaining times of the tasks.
 	NoProgress bool
-=======
 	// GangWorkers, if above 0, replaces the limits on the size of gangs: a step can be a gang if its
 	// tasks together need at most as many accelerators as GangWorkers workers have.
 	GangWorkers int
->>>>>>> main
 }
 
 // Burst multiplies the arrival rate of a class by Times during For, starting at At. An
