--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -64,7 +64,6 @@
 		for _, h := range hosts {
 			free += capacity(h).Accelerators
 		}
-		free += avoidedHostPenalty * u.countAvoided(assignments)
 		if best == nil || free < bestFree {
 			best, bestFree = assignments, free
 		}
@@ -162,9 +161,6 @@
 	if u.failedOn[h.worker.Life] {
 		cost += failedWorkerCost
 	}
-	if u.avoids(h) {
-		cost += recentFailureCost
-	}
 	if u.step.Filler && h.hasLatencySensitive || u.step.TailTarget > 0 && h.hasFiller {
 		cost += colocationCost
 	}
--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -50,8 +50,6 @@
 	// PermitQueries are the queries to the adviser whose answers may allow more placements, the
 	// most urgent first.
 	PermitQueries []permit.Query
-	// Restarts are the failed gangs that wait for members to stop, in the order of their ranks.
-	Restarts []Restart
 }
 
 // Empty reports whether there is nothing to propose. It ignores the fields below Stops.
@@ -66,16 +64,8 @@
 	p.addQuarantines()
 	p.evacuate()
 	p.migrate()
-	waiting := false
 	for _, u := range p.rankedUnits() {
-		if u.restarting {
-			if !waiting {
-				p.prepareRestart(u)
-			}
-			continue
-		}
 		if !p.tryPlace(u) {
-			waiting = true
 			p.noteHeldBack(u)
 			p.queryPermits(u)
 		}
@@ -109,10 +99,10 @@
 	decision Decision
 }
 
-// tryPlace places the unit and returns true if the unit fits now and does not restart. Otherwise it
-// returns false, and may reserve capacity for the unit or stop runs of lower rank.
+// tryPlace places the unit and returns true if the unit fits now. Otherwise it returns false,
+// and may reserve capacity for the unit or stop runs of lower rank.
 func (p *plan) tryPlace(u *unit) bool {
-	if assignments := p.findAssignments(u, capacityNow); assignments != nil && !u.restarting {
+	if assignments := p.findAssignments(u, capacityNow); assignments != nil {
 		p.place(u, assignments)
 		return true
 	}
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -28,11 +28,6 @@
 	// unit is not placed on them.
 	failedOn       map[workload.LifeID]bool
 	excludesFailed bool
-	// restarting is true for a gang that has failed and still has members that are being stopped.
-	// Capacity is reserved for it, but it is not placed.
-	restarting bool
-	// avoidsFailures is true for a gang with at most fewAttempts left.
-	avoidsFailures bool
 }
 
 // rank is the importance of a unit, see compareRank.
@@ -147,11 +142,7 @@
 			continue
 		}
 		if spec.Gang {
-			u := p.gangUnit(j, occurrence, i, step)
-			if u == nil {
-				u = p.restartingGang(j, occurrence, i, step)
-			}
-			if u != nil {
+			if u := p.gangUnit(j, occurrence, i, step); u != nil {
 				units = append(units, u)
 			}
 			continue
@@ -198,7 +189,6 @@
 			u.rank.slack += (benefitLimitFactor - 1) * objective
 		}
 	}
-	u.avoidsFailures = u.step.Gang && j.Attempts-j.Failures(members[0]) <= fewAttempts
 	p.setPermits(u)
 	p.setFailedWorkers(u)
 	return u
--- a/internal/process/scheduler/decide.go
+++ b/internal/process/scheduler/decide.go
@@ -33,7 +33,6 @@
 		decision.Places[i].Term = term
 		due = append(due, workload.Record{Place: &decision.Places[i]})
 	}
-	s.restarts = decision.Restarts
 	s.permits.Retain(func(r workload.StepRef) bool {
 		j := s.state.Job(r.Job)
 		return j != nil && j.Open()
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -113,9 +113,6 @@
 	answers chan answer
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
-	// restarts are those of the last decision.
-	restarts       []allocation.Restart
-	loggedRestarts changeFilter[workload.StepRef, restartValue]
 	// delays and heldBack are those of the last decision. loggedDelays has whether the logged delays were
 	// missed.
 	delays         []allocation.Delay
@@ -235,7 +232,6 @@
 		s.logHeldBack()
 		s.logQuarantines()
 		s.permits.SetQueries(queries)
-		s.logRestarts()
 		if s.proposeAsLeader(ctx, term, due, queries) {
 			s.lastDecision.Store(&decision{at: s.clock(), offset: offset})
 		}
