--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -45,14 +45,12 @@
 	Delays []Delay
 	// HeldBack are the occurrences that wait although they fit, in the order of their ranks.
 	HeldBack []HeldBack
-	// Quarantines are the workers with several failures in a row, in the order of their lives.
-	Quarantines []Quarantine
 	// PermitQueries are the queries to the adviser whose answers may allow more placements, the
 	// most urgent first.
 	PermitQueries []permit.Query
 }
 
-// Empty reports whether there is nothing to propose. It ignores the fields below Stops.
+// Empty reports whether there is nothing to propose. It ignores Delays, HeldBack and PermitQueries.
 func (d Decision) Empty() bool { return len(d.Places)+len(d.Stops) == 0 }
 
 // Decide returns the runs to start and to stop now. It places the waiting units in order of
@@ -61,7 +59,6 @@
 func Decide(in Input) Decision {
 	p := newPlan(in)
 	p.forecastAll()
-	p.addQuarantines()
 	p.evacuate()
 	p.migrate()
 	for _, u := range p.rankedUnits() {
--- a/internal/process/allocation/failures.go
+++ b/internal/process/allocation/failures.go
@@ -16,7 +16,6 @@
 
 // RecordFailure records that a run of the task failed on the worker.
 func (h *History) RecordFailure(j *workload.Job, r workload.TaskRef, worker workload.LifeID) {
-	h.recordEvidence(j, worker, true)
 	if h.failures == nil {
 		h.failures = map[workload.TaskRef]map[workload.LifeID]bool{}
 	}
--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -10,7 +10,7 @@
 
 const (
 	// quarantineFailures is the number of different jobs that must fail in a row on a worker
-	// before it is quarantined. More must fail if their queues' failure rates explain these.
+	// before it is quarantined.
 	quarantineFailures = 2
 	// quarantineTime is how long a quarantined worker gets no tasks. After that it gets one
 	// task as a test.
@@ -36,10 +36,6 @@
 	steps map[stepRef]*stepDurations
 	// failures has the workers on which each task or gang has failed, by failureKey.
 	failures map[workload.TaskRef]map[workload.LifeID]bool
-	// failureRates has the failure rate of each queue, evidence that against each worker on which
-	// ends of runs were observed.
-	failureRates map[bundle.QueueName]*failureRate
-	evidence     map[workload.LifeID]*failureEvidence
 }
 
 // runHistory is what was observed of the current run of a task.
@@ -225,8 +221,6 @@
 		h.runs = map[workload.TaskRef]runHistory{}
 		h.workers = map[workload.LifeID]*workerHistory{}
 		h.durationModels = map[bundle.QueueName]*durationModel{}
-		// Of runs that ended before, the failures are known by worker, but not the successes.
-		h.failureRates, h.evidence = nil, nil
 	}
 	h.updateJobs(s, now, age)
 	h.updateRuns(s, now, age)
@@ -282,7 +276,7 @@
 		if w.Draining && !observed.draining {
 			observed.draining, observed.drainingSince = true, now
 		}
-		if w.FailureStreak >= quarantineFailures && w.FailureStreak > observed.failureStreak && !h.explainsFailures(id) {
+		if w.FailureStreak >= quarantineFailures && w.FailureStreak > observed.failureStreak {
 			observed.quarantined, observed.quarantinedUntil = true, now+quarantineTime
 		}
 		if w.FailureStreak == 0 {
@@ -295,14 +289,12 @@
 			delete(h.workers, id)
 		}
 	}
-	h.pruneEvidence(s)
 }
 
 // RecordSuccess records the duration of a successful run; 0 means that it is not known. Only the
 // first duration of each step is added to the model of the queue, since the tasks of one step
 // have similar durations.
 func (h *History) RecordSuccess(j *workload.Job, r workload.TaskRef, duration time.Duration) {
-	h.recordEvidence(j, h.runs[r].worker, false)
 	if duration <= 0 {
 		return
 	}
--- a/internal/process/scheduler/decide.go
+++ b/internal/process/scheduler/decide.go
@@ -24,7 +24,6 @@
 	}
 	decision := allocation.Decide(input)
 	s.delays, s.heldBack = decision.Delays, decision.HeldBack
-	s.quarantines = decision.Quarantines
 	for i := range decision.Stops {
 		decision.Stops[i].Term = term
 		due = append(due, workload.Record{Stop: &decision.Stops[i]})
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -119,9 +119,6 @@
 	loggedDelays   changeFilter[delayKey, bool]
 	heldBack       []allocation.HeldBack
 	loggedHeldBack changeFilter[delayKey, struct{}]
-	// quarantines are those of the last decision.
-	quarantines       []allocation.Quarantine
-	loggedQuarantines changeFilter[workload.LifeID, quarantineValue]
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -230,7 +227,6 @@
 		s.monitor.Reset()
 		s.logDelays()
 		s.logHeldBack()
-		s.logQuarantines()
 		s.permits.SetQueries(queries)
 		if s.proposeAsLeader(ctx, term, due, queries) {
 			s.lastDecision.Store(&decision{at: s.clock(), offset: offset})
