internal/process/intake: no panic in the first call of an outage

An entry that had proposed no submission since its start looked for undecided submissions while the log was down, and wrote to a nil map. Change: nothing is written if nothing is left. A test fails without the change.

--- a/internal/process/intake/undecided.go
+++ b/internal/process/intake/undecided.go
@@ -51,10 +51,12 @@
 
 // update removes the submissions of the job for which decided returns true. The lock must be held.
 func (u *undecided) update(id workload.JobID, decided func(*journal.Pending) bool) {
-	u.jobs[id] = slices.DeleteFunc(u.jobs[id], decided)
-	if len(u.jobs[id]) == 0 {
+	left := slices.DeleteFunc(u.jobs[id], decided)
+	if len(left) == 0 {
 		delete(u.jobs, id)
+		return
 	}
+	u.jobs[id] = left
 }
 
 // isDecided reports whether the journal has sent the result of a submission whose call no longer waits
--- a/internal/process/intake/wait_test.go
+++ b/internal/process/intake/wait_test.go
@@ -168,3 +168,22 @@
 		}
 	})
 }
+
+// The failure: the log is known to be down before an entry has proposed any submission, and the first call makes
+// the entry panic instead of getting a refusal or, once the log is back, an answer.
+func TestFirstCallInOutage(t *testing.T) {
+	withIntake(t, func(t *testing.T, d *fixture) {
+		d.log.SetFaults(standin.LogFaults{Down: true})
+		if err := d.journal.Propose(t.Context(), workload.Record{Join: &workload.Join{}}); !errors.Is(err, journal.ErrNotAppended) {
+			t.Fatalf("got error %v, want that the record was not appended", err)
+		}
+		if _, err := d.call(t, "first", 0); !errors.Is(err, intake.ErrNotStored) {
+			t.Errorf("got error %v, want that the job was not stored", err)
+		}
+		d.log.SetFaults(standin.LogFaults{})
+		time.Sleep(time.Second)
+		if _, err := d.call(t, "first", 0); err != nil {
+			t.Errorf("got error %v after the outage, want none", err)
+		}
+	})
+}
