--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -141,13 +141,8 @@
 		for _, r := range w.SortedRuns() {
 			observed := h.runs[r]
 			j := s.Job(r.Job)
-			if j.Steps[r.Step].LongRunning {
-				continue
-			}
-			if spansWorkers(j, r) {
-				// A gang is as fast as its slowest member, which may run on another worker. But a member
-				// without progress is the slowest one if another member makes progress.
-				stalled = stalled || observed.stalled && h.otherMemberProgresses(j, r)
+			if j.Steps[r.Step].LongRunning || spansWorkers(j, r) {
+				// A gang is as fast as its slowest member, which may run on another worker.
 				continue
 			}
 			stalled = stalled || observed.stalled
@@ -171,17 +166,6 @@
 	}
 }
 
-// otherMemberProgresses reports whether the current run of another member of the task's gang makes
-// progress.
-func (h *History) otherMemberProgresses(j *workload.Job, r workload.TaskRef) bool {
-	for _, m := range membersOf(j, r, &j.Occurrences[r.Occurrence].Steps[r.Step]) {
-		if m != r && h.runs[m].run == h.runs[r].run && h.runs[m].projected {
-			return true
-		}
-	}
-	return false
-}
-
 // spansWorkers reports whether the task belongs to a gang that runs on several workers.
 func spansWorkers(j *workload.Job, r workload.TaskRef) bool {
 	step := j.Occurrences[r.Occurrence].Steps[r.Step]
--- a/internal/process/allocation/migrate.go
+++ b/internal/process/allocation/migrate.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// migrateFrom stops the runs on w that would end sooner on other workers, on capacity that is free now
-// or that their own gang uses, and reserves that capacity for the new runs. It does not move long-running tasks, nor
+// migrateFrom stops the runs on w that would end sooner on other workers that have capacity
+// now, and reserves that capacity for the new runs. It does not move long-running tasks, nor
 // tasks that were moved maxMigrations times.
 func (p *plan) migrateFrom(w *workload.Worker) {
 	for _, r := range w.SortedRuns() {
@@ -46,26 +46,13 @@
 			continue
 		}
 		u := p.newUnit(j, r.Step, r.Occurrence, membersOf(j, r, step), t.Run)
-		if assignments := p.findAssignments(u, p.capacityWithout(u.members)); assignments != nil {
+		if assignments := p.findAssignments(u, capacityNow); assignments != nil {
 			p.stop(r, t.Run, workload.StopStalled)
 			p.reserve(u, assignments)
 		}
 	}
 }
 
-// capacityWithout returns the function for the capacity that is free now or that the current runs of
-// the tasks use.
-func (p *plan) capacityWithout(tasks []workload.TaskRef) capacityFunc {
-	used := map[*host]workload.Resources{}
-	for _, r := range tasks {
-		_, _, t, known := p.State.Task(r)
-		if h := p.hostsByLife[t.Worker]; known && h != nil {
-			used[h] = used[h].Plus(p.reservation(r))
-		}
-	}
-	return func(h *host) workload.Resources { return h.free.Plus(used[h]) }
-}
-
 // endsSoonerElsewhere reports whether the remaining time of the run is more than
 // minMigrationGain times the time of a new run on another worker.
 func (p *plan) endsSoonerElsewhere(j *workload.Job, r workload.TaskRef) bool {
