--- a/internal/process/scheduler/lead.go
+++ b/internal/process/scheduler/lead.go
@@ -121,7 +121,8 @@
 	return err == nil, step.Again
 }
 
-// callLeader calls the leader in the background; dueAt is the offset that its last decision must include. The loop of Start passes the result to the monitor.
+// callLeader calls the leader in the background. dueAt is the offset of the state that its last decision
+// must include if it decides. The loop of Start passes the result to the monitor.
 func (s *Scheduler) callLeader(ctx context.Context, leader incarnation.ID, dueAt platform.Offset) {
 	var address incarnation.Address
 	s.journal.View(func(time.Time) { address = s.addressOf(leader) })
