--- a/internal/process/scheduler/hung_runs_test.go
+++ b/internal/process/scheduler/hung_runs_test.go
@@ -1,11 +1,10 @@
 package scheduler_test
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
-	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -32,9 +31,12 @@
 // Runs of several lengths make progress. None may be reported as stalled, although the answer to a poll that waits
 // for the end of a run arrives after the answer to a later poll.
 func TestHealthyRunsAreNotStalled(t *testing.T) {
-	withInstallation(t, func(t *testing.T, in *installation) {
-		var lines bytes.Buffer
-		in.logger = hclog.New(&hclog.LoggerOptions{Output: &lines, Mutex: &sync.Mutex{}})
+	var lines strings.Builder
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(t)
+		defer in.stop()
+		in.logger = hclog.New(&hclog.LoggerOptions{Output: &lines})
+		in.addEntry()
 		in.addPromptWorker()
 		for i, d := range []time.Duration{time.Second, 3 * time.Second, 9 * time.Second} {
 			in.setDuration(d)
@@ -44,8 +46,8 @@
 			time.Sleep(700 * time.Millisecond)
 		}
 		in.await("job2", workload.OutcomeCompleted, 10*time.Second)
-		if n := strings.Count(lines.String(), "stalled=true"); n > 0 {
-			t.Errorf("got %d reports of stalled runs, want none", n)
-		}
 	})
+	if n := strings.Count(lines.String(), "stalled=true"); n > 0 {
+		t.Errorf("got %d reports of stalled runs, want none", n)
+	}
 }
