runner: log and count the runs that are lost with a life of the minion

What callers saw: a task whose run was lost with its minion left no line between its start and its next placement, so the logs of the incident could not tell a crash from a minion that left or was cut off, nor which other tasks were lost with it. Change: one bounded line and a counter for each life that a new one replaces, with the cause, the age of the last answer and the runs. The stand-in of a crashed minion refuses connections, as a real one does. No decision changes.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -60,6 +60,9 @@
 	// unreachable is true from an order that was not sent until the next successful poll: the
 	// minion has no listener, as after a crash.
 	unreachable bool
+	// refusedAt is when an order was first refused because the minion had no listener; 0 if the
+	// newest poll was answered.
+	refusedAt time.Duration
 	// pollPending is set while a poll sent by pollNow has no answer yet.
 	pollPending bool
 	runs        map[workload.TaskRef]*runState
@@ -218,6 +221,7 @@
 				r.fence()
 			}
 			l.unreachable = l.unreachable || errors.Is(err, ErrNotSent)
+			l.noteRefusal(err, receivedAt)
 		}
 		r.logger.Debug("minion poll failed", "minion", order.ID, "error", err)
 		return
@@ -251,6 +255,9 @@
 func (r *Runner) beginLife(a Announcement, born int64) {
 	r.fence()
 	r.candidate = nil
+	if r.life != nil {
+		r.logLoss(r.life)
+	}
 	r.life = &minionLife{
 		id: LifeID(a.ID, born), minion: a.ID, born: born, announcement: a, draining: a.Draining, firstToken: r.token(),
 		runs: map[workload.TaskRef]*runState{}, strayStoppedAt: map[workload.TaskRef]time.Duration{},
@@ -263,7 +270,7 @@
 func (l *minionLife) update(order Poll, status Status, sentAt, receivedAt time.Duration) {
 	l.lastAnswerAt = max(l.lastAnswerAt, receivedAt)
 	l.failedPolls = 0
-	l.unreachable = false
+	l.unreachable, l.refusedAt = false, 0
 	if status.Clock > l.progressReadAt {
 		// An answer that was delayed until a run ended may be newer than that to a later poll.
 		l.progressReadAt = status.Clock
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -213,6 +213,7 @@
 		run.phase, run.startedAt, run.fromBeginning = phaseStarted, r.clock(), order.Resume == ""
 	case errors.Is(err, ErrNotSent):
 		l.unreachable = true
+		l.noteRefusal(err, r.clock())
 		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
 	case !errors.As(err, &refused):
 		r.markUnsettled(run)
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -1,8 +1,10 @@
 package standin
 
 import (
+	"fmt"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -125,7 +127,7 @@
 func (m *TaskMinion) callError() error {
 	switch {
 	case m.unreachable:
-		return runner.ErrNotSent
+		return fmt.Errorf("%w: %w", runner.ErrNotSent, syscall.ECONNREFUSED)
 	case m.unresponsive:
 		return ErrUnresponsive
 	}
