--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -23,6 +23,10 @@
 	RunDuration func(workload.TaskRef, workload.Run) time.Duration
 	// Fails reports whether a run fails at its end; nil means that no run fails.
 	Fails func(runner.Start) bool
+	// Crashes returns whether and how a start crashes the minion, which is back after
+	// DownTime; nil means that none does.
+	Crashes  func(runner.Start) CrashMode
+	DownTime time.Duration
 	// Permitted reports whether a start has a valid permit; nil means that starts need
 	// none.
 	Permitted func(runner.Start) bool
@@ -69,6 +73,21 @@
 	expiredAt time.Time
 }
 
+// CrashMode is whether and how a start crashes a TaskMinion.
+type CrashMode int
+
+// The modes. The zero value means that the minion does not crash.
+const (
+	NoCrash CrashMode = iota
+	// CrashAfterAnswer means that the minion crashes some milliseconds after its answer.
+	CrashAfterAnswer
+	// CrashBeforeAnswer means that the minion begins the run and crashes before it answers.
+	CrashBeforeAnswer
+)
+
+// crashDelay is the time from the answer to a start until the minion crashes under it.
+const crashDelay = 7 * time.Millisecond
+
 // activeRun is a run in progress.
 type activeRun struct {
 	run       workload.Run
@@ -116,12 +135,25 @@
 func (m *TaskMinion) Crash() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.crash()
+}
+
+// crash implements Crash. The lock must be held.
+func (m *TaskMinion) crash() {
 	m.advance()
 	m.logEnds()
 	m.active = map[workload.TaskRef]*activeRun{}
 	m.unreachable = true
 }
 
+// crashAndRestart crashes the minion, which is back after DownTime.
+func (m *TaskMinion) crashAndRestart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.crash()
+	time.AfterFunc(m.DownTime, m.StartLife)
+}
+
 // callError returns the error of every call while the minion is unreachable or unresponsive,
 // otherwise nil. The lock must be held.
 func (m *TaskMinion) callError() error {
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"time"
 
@@ -62,6 +63,24 @@
 	m.active[o.Task] = a
 	m.advanceAt(a.endsAt)
 	m.RunLog.start(o.Task, o.Run, m.OnViolation)
+	return m.crashUnder(o)
+}
+
+// crashUnder crashes the minion if the run that it has begun does so, and returns the error of
+// the start. The lock must be held.
+func (m *TaskMinion) crashUnder(o runner.Start) error {
+	mode := NoCrash
+	if m.Crashes != nil {
+		mode = m.Crashes(o)
+	}
+	switch mode {
+	case CrashAfterAnswer:
+		time.AfterFunc(crashDelay, m.crashAndRestart)
+	case CrashBeforeAnswer:
+		m.crash()
+		time.AfterFunc(m.DownTime, m.StartLife)
+		return io.EOF
+	}
 	return nil
 }
 
