workload, runner, allocation: give up a task under which workers crash

All tasks beside it were lost each time, and its job never ended. Cause: the end of a run that is lost with its worker counted against no limit. The state records it as Lapsed, as for a worker that was cut off, and the leader places the task again. Only ends that a minion reports can use up the attempts of a job. Class of fault: a retry without a budget, because the failure was inferred instead of reported. Change: the agent, which survives its minion, reports with the next life which runs the earlier life may have crashed under: those that began shortly before, if there are any, otherwise all. Runs are left out if the minion drained, had been silent before, or if the next life began the run itself, since its start then arrived after the crash. The state adds up the crashes of each task, once for each run, and fails the job after two early crashes or four others. Tasks of different jobs under which a worker has crashed start on different workers, so that the same tasks are not beside the one that is at fault each time. Tried and dropped: counting every run of a crashed life with a limit of three.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -158,6 +158,16 @@
 		// Fillers use idle cores, however much of the worker is reserved.
 		cost = -float64(h.idleCores) / float64(h.worker.Room.Cores)
 	}
+	switch {
+	case u.suspect:
+		// The fewer other tasks there are on the worker, the fewer are lost if it crashes.
+		cost = -cost
+		if h.probation == u.job.ID {
+			cost -= probationCost
+		}
+	case h.probation != "":
+		cost += probationCost
+	}
 	if u.failedOn[h.worker.Life] {
 		cost += failedWorkerCost
 	}
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -32,6 +32,8 @@
 	// free includes the cores of fillers, since fillers reserve none.
 	hasLatencySensitive, hasFiller bool
 	idleCores                      millicores
+	// probation is a job of which a suspect was placed here recently; empty if there is none.
+	probation workload.JobID
 	// placed counts the tasks that this round placed on the host, by step.
 	placed map[workload.StepRef]int
 }
@@ -89,6 +91,7 @@
 			h.maxPriority = max(h.maxPriority, j.Priority)
 		}
 		h.addTasks(step, 1)
+		h.setProbation(p, r)
 		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
 			h.afterStops = h.afterStops.Plus(p.reservation(r))
 			p.stopping[r] = true
@@ -123,6 +126,9 @@
 	h.placed[first.StepRef()] += count
 	h.idleCores -= u.total(count).Cores
 	h.addTasks(u.step, count)
+	if u.suspect && h.probation == "" {
+		h.probation = u.job.ID
+	}
 	if h.trialOnly {
 		h.free, h.afterStops = workload.Resources{}, workload.Resources{}
 	}
@@ -149,7 +155,7 @@
 // maxMembers returns how many members of the unit, at most all of them, may start on the free
 // capacity of the host. It returns 0 if the unit may not run on the host.
 func (h *host) maxMembers(u *unit, capacity capacityFunc) int {
-	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) || u.excludesFailed && u.failedOn[h.worker.Life] {
+	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) || u.excludesFailed && u.failedOn[h.worker.Life] || h.excludes(u) {
 		return 0
 	}
 	n := countFitting(u.step.Reservation(), capacity(h), len(u.members))
--- a/internal/process/command/platform_entry.go
+++ b/internal/process/command/platform_entry.go
@@ -90,7 +90,7 @@
 		if !leading {
 			return
 		}
-		e.logger.Info("job ended", "job", j.ID, "queue", j.Queue, "organisation", j.Organisation, "outcome", j.Outcome)
+		e.logger.Info("job ended", "job", j.ID, "queue", j.Queue, "organisation", j.Organisation, "outcome", j.Outcome, "failure", j.Failure)
 	}
 }
 
--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -73,6 +73,8 @@
 	pacer         pacer
 	pacedStatusAt time.Duration
 	pace          int
+	// crashes are the crashes of earlier lives that are not recorded yet.
+	crashes []workload.Crash
 	// reportedCheckpoints are the checkpoints of the last report, which was made at
 	// checkpointsReportedAt.
 	reportedCheckpoints   map[workload.TaskRef]workload.Checkpoint
@@ -231,12 +233,12 @@
 	case l != nil && l.minion == order.ID && l.born == status.Born:
 		r.dropCandidate(order.ID)
 	case r.candidate != nil && r.candidate.ID == order.ID && (r.candidate.Born == 0 || r.candidate.Born == status.Born):
-		r.beginLife(*r.candidate, status.Born)
+		r.beginLife(*r.candidate, status)
 	case l != nil && l.minion == order.ID:
 		// The minion has begun a new life and not announced it. The new life may have
 		// started runs that were ordered from the previous one; they must be stopped before
 		// the new life is announced.
-		r.beginLife(Announcement{ID: order.ID, Born: status.Born}, status.Born)
+		r.beginLife(Announcement{ID: order.ID, Born: status.Born}, status)
 	default:
 		return
 	}
@@ -250,18 +252,21 @@
 	}
 }
 
-// beginLife replaces the current life by a new one. The next poll carries a new token;
-// once the minion has received it, the minion refuses all earlier orders.
-func (r *Runner) beginLife(a Announcement, born int64) {
+// beginLife replaces the current life by a new one, whose first status is given. The next poll carries
+// a new token; once the minion has received it, the minion refuses all earlier orders.
+func (r *Runner) beginLife(a Announcement, first Status) {
 	r.fence()
 	r.candidate = nil
+	var crashes []workload.Crash
 	if r.life != nil {
-		r.logLoss(r.life)
+		lost := r.life.lostRuns(first)
+		r.logLoss(r.life, lost)
+		crashes = append(r.life.crashes, r.life.suspects(lost, r.clock())...)
 	}
 	r.life = &minionLife{
-		id: LifeID(a.ID, born), minion: a.ID, born: born, announcement: a, draining: a.Draining, firstToken: r.token(),
+		id: LifeID(a.ID, first.Born), minion: a.ID, born: first.Born, announcement: a, draining: a.Draining, firstToken: r.token(),
 		runs: map[workload.TaskRef]*runState{}, strayStoppedAt: map[workload.TaskRef]time.Duration{},
-		reportedCheckpoints: map[workload.TaskRef]workload.Checkpoint{}, lastAnswerAt: r.clock(),
+		reportedCheckpoints: map[workload.TaskRef]workload.Checkpoint{}, lastAnswerAt: r.clock(), crashes: crashes,
 	}
 	r.logger.Info("minion began a new life", "worker", r.life.id, "machine", a.Machine, "token", r.token())
 }
--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -45,44 +45,79 @@
 	return at
 }
 
-// lossCause returns why the life ended, given the time at which the next life was found.
-func (l *minionLife) lossCause(now time.Duration) lossCause {
-	foundAt := now
+// foundAt returns when the life was found to have ended, at the latest now.
+func (l *minionLife) foundAt(now time.Duration) time.Duration {
 	if l.refusedAt > 0 {
-		foundAt = l.refusedAt
+		return l.refusedAt
 	}
+	return now
+}
+
+// lossCause returns why the life ended, given the time at which the next life was found.
+func (l *minionLife) lossCause(now time.Duration) lossCause {
 	switch {
 	case l.draining || l.leaving:
 		return lossLeft
-	case foundAt-l.lastContact() > unresponsiveAfter:
+	case l.foundAt(now)-l.lastContact() > unresponsiveAfter:
 		return lossSilent
 	}
 	return lossCrashed
 }
 
-// unendedRuns returns the tasks whose runs have started, or may have, and were not reported as
-// ended, in the order of TaskRef.Compare.
-func (l *minionLife) unendedRuns() []workload.TaskRef {
-	var refs []workload.TaskRef
+// lostRuns returns the tasks whose runs the life had begun, or may have, and has not reported as ended,
+// in the order of TaskRef.Compare. The next life, whose first status is given, lists a run that it has
+// begun itself: its start arrived after the end of this life.
+func (l *minionLife) lostRuns(next Status) []workload.TaskRef {
+	var lost []workload.TaskRef
 	for ref, run := range l.runs {
 		mayRun := run.phase == phaseStarting || run.phase == phaseUnsettled || run.phase == phaseStarted
-		if mayRun && !l.listsEnded(ref, run.number) {
-			refs = append(refs, ref)
+		if mayRun && !next.listsRunning(ref, run.number) && !next.listsEnded(ref, run.number) && !l.listsEnded(ref, run.number) {
+			lost = append(lost, ref)
 		}
 	}
-	slices.SortFunc(refs, workload.TaskRef.Compare)
-	return refs
+	slices.SortFunc(lost, workload.TaskRef.Compare)
+	return lost
+}
+
+// earlyCrashTime is the longest time from the confirmed start of a run until its life was found to have
+// ended for which the crash counts as early.
+const earlyCrashTime = 500 * time.Millisecond
+
+// suspects returns the lost runs that may have crashed the life: those that had started shortly before,
+// if there are any, otherwise all. It returns nil if the life did not crash or if the runs may have ended
+// before. now is the time at which the next life was found.
+func (l *minionLife) suspects(lost []workload.TaskRef, now time.Duration) []workload.Crash {
+	if l.lossCause(now) != lossCrashed {
+		return nil
+	}
+	var recent, others []workload.Crash
+	for _, ref := range lost {
+		run := l.runs[ref]
+		c := workload.Crash{Task: ref, Run: run.number}
+		if run.phase == phaseStarted {
+			c.Early = l.foundAt(now)-run.startedAt <= earlyCrashTime
+			c.Ran = l.lastContact() - run.startedAt
+		}
+		if c.Early || run.phase != phaseStarted {
+			recent = append(recent, c)
+		} else {
+			others = append(others, c)
+		}
+	}
+	if len(recent) > 0 {
+		return recent
+	}
+	return others
 }
 
 // logLoss logs and counts the runs that were lost with the life.
-func (r *Runner) logLoss(l *minionLife) {
-	refs := l.unendedRuns()
+func (r *Runner) logLoss(l *minionLife, lost []workload.TaskRef) {
 	cause := l.lossCause(r.clock())
 	var runs []string
-	for _, ref := range refs[:min(len(refs), maxLoggedRuns)] {
+	for _, ref := range lost[:min(len(lost), maxLoggedRuns)] {
 		runs = append(runs, fmt.Sprintf("%s/%d", ref, l.runs[ref].number))
 	}
 	r.logger.Info("life of the minion ended", "worker", l.id, "cause", cause, "silent_ms", (r.clock() - l.lastContact()).Milliseconds(),
-		"count", len(refs), "runs", runs)
-	r.metrics.GetOrCreateCounter(fmt.Sprintf("corianderpass_runs_lost_total{cause=%q}", cause)).Add(len(refs))
+		"count", len(lost), "runs", runs)
+	r.metrics.GetOrCreateCounter(fmt.Sprintf("corianderpass_runs_lost_total{cause=%q}", cause)).Add(len(lost))
 }
--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,6 +83,14 @@
 	Ended []workload.End
 }
 
+func (s Status) listsRunning(ref workload.TaskRef, n workload.Run) bool {
+	return slices.ContainsFunc(s.Running, func(r RunStatus) bool { return r.Task == ref && r.Run == n })
+}
+
+func (s Status) listsEnded(ref workload.TaskRef, n workload.Run) bool {
+	return slices.ContainsFunc(s.Ended, func(e workload.End) bool { return e.Task == ref && e.Run == n })
+}
+
 // RunStatus is the state of a run that a minion lists as running.
 type RunStatus struct {
 	Task       workload.TaskRef
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -126,10 +126,13 @@
 	ends := len(l.status.Ended)
 	r.propose(workload.Record{Announce: &workload.Announce{
 		Life: l.id, Machine: a.Machine, Agent: r.self, Address: r.settings.Address, Service: a.Service, FailureDomain: r.settings.FailureDomain,
-		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended,
+		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended, Crashes: l.crashes,
 	}}, func(err error) {
 		l.announcePending = false
 		l.announced = err == nil
+		if l.announced {
+			l.crashes = nil
+		}
 		r.logger.Info("announce worker", "worker", l.id, "machine", a.Machine, "rack", a.Rack, "ends", ends, "error", err)
 	})
 }
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -115,21 +115,11 @@
 }
 
 func (l *minionLife) listsRunning(ref workload.TaskRef, n workload.Run) bool {
-	for _, s := range l.status.Running {
-		if s.Task == ref && s.Run == n {
-			return true
-		}
-	}
-	return false
+	return l.status.listsRunning(ref, n)
 }
 
 func (l *minionLife) listsEnded(ref workload.TaskRef, n workload.Run) bool {
-	for _, e := range l.status.Ended {
-		if e.Task == ref && e.Run == n {
-			return true
-		}
-	}
-	return false
+	return l.status.listsEnded(ref, n)
 }
 
 // settle determines from the minion's status whether an unsettled start took effect. The
--- a/internal/process/scheduler/crashing_tasks_test.go
+++ b/internal/process/scheduler/crashing_tasks_test.go
@@ -46,3 +46,21 @@
 		}
 	})
 }
+
+// Six times in a row a minion restarts under its ID just before the start of the same task arrives, which
+// the next life then begins. No minion has crashed under the task, so that its job must not be given up.
+func TestStartInNextLifeCountsNoCrash(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		in.addPromptWorker()
+		task := workload.TaskRef{Job: "job"}
+		in.setCrashing(task, standin.RestartBeforeStart)
+		in.submit(spec("job", 1, smallTask()))
+		for start := time.Now(); in.runLog.Starts() < 6; time.Sleep(10 * time.Millisecond) {
+			if time.Since(start) > 60*time.Second {
+				t.Fatalf("got %d starts in 60s, want 6", in.runLog.Starts())
+			}
+		}
+		in.setCrashing(task, standin.NoCrash)
+		in.await("job", workload.OutcomeCompleted, 10*time.Second)
+	})
+}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -83,6 +83,9 @@
 	CrashAfterAnswer
 	// CrashBeforeAnswer means that the minion begins the run and crashes before it answers.
 	CrashBeforeAnswer
+	// RestartBeforeStart means that the minion restarts just before the start arrives, and begins the run
+	// in its next life.
+	RestartBeforeStart
 )
 
 // crashDelay is the time from the answer to a start until the minion crashes under it.
@@ -108,6 +111,11 @@
 func (m *TaskMinion) StartLife() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.startLife()
+}
+
+// startLife implements StartLife. The lock must be held.
+func (m *TaskMinion) startLife() {
 	m.logEnds()
 	m.startedAt = time.Now()
 	m.token, m.leaseEnd, m.lastEnd = 0, 0, 0
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -34,6 +34,13 @@
 
 // start starts the run. The lock must be held.
 func (m *TaskMinion) start(o runner.Start) error {
+	mode := NoCrash
+	if m.Crashes != nil {
+		mode = m.Crashes(o)
+	}
+	if mode == RestartBeforeStart {
+		m.startLife()
+	}
 	m.advance()
 	switch {
 	case o.ID != m.ID:
@@ -63,16 +70,12 @@
 	m.active[o.Task] = a
 	m.advanceAt(a.endsAt)
 	m.RunLog.start(o.Task, o.Run, m.OnViolation)
-	return m.crashUnder(o)
+	return m.crashUnder(mode)
 }
 
-// crashUnder crashes the minion if the run that it has begun does so, and returns the error of
-// the start. The lock must be held.
-func (m *TaskMinion) crashUnder(o runner.Start) error {
-	mode := NoCrash
-	if m.Crashes != nil {
-		mode = m.Crashes(o)
-	}
+// crashUnder crashes the minion under the run that it has begun if the mode says so, and returns the
+// error of the start. The lock must be held.
+func (m *TaskMinion) crashUnder(mode CrashMode) error {
 	switch mode {
 	case CrashAfterAnswer:
 		time.AfterFunc(crashDelay, m.crashAndRestart)
--- /dev/null
+++ b/internal/process/workload/crash.go
@@ -0,0 +1,47 @@
+package workload
+
+import "time"
+
+// Crash reports that a worker crashed under a run: while it executed the run, or while it may have
+// begun to.
+type Crash struct {
+	Task TaskRef
+	Run  Run
+	// Early is true if the worker had confirmed the start of the run shortly before it crashed.
+	Early bool `json:",omitempty"`
+	// Ran is for how long the run is known to have been executed; 0 if unknown.
+	Ran time.Duration `json:",omitempty"`
+}
+
+// A task that crashes its workers usually does so as it starts, and workers crash for other reasons at
+// any time. So two early crashes count as much as four others.
+const (
+	earlyCrashScore = 2
+	lateCrashScore  = 1
+	// maxCrashScore is the sum of the scores at which the job of a task fails.
+	maxCrashScore = 4
+	// provenTime is how long a run of a long-running task must have been executed so that its crash
+	// is counted as the first. Otherwise the crashes of months would add up.
+	provenTime = time.Minute
+)
+
+// recordCrash counts the crash, once for each run, and fails the job when its task has reached
+// maxCrashScore.
+func (s *State) recordCrash(c Crash) {
+	j, _, t, ok := s.Task(c.Task)
+	if !ok || !j.Open() || t.Phase == PhaseDone || c.Run > t.Run || c.Run <= t.CrashedRun {
+		return
+	}
+	t.CrashedRun = c.Run
+	if j.Steps[c.Task.Step].LongRunning && c.Ran >= provenTime {
+		t.CrashScore = 0
+	}
+	if c.Early {
+		t.CrashScore += earlyCrashScore
+	} else {
+		t.CrashScore += lateCrashScore
+	}
+	if t.CrashScore >= maxCrashScore {
+		s.failJob(j, FailureCrashes)
+	}
+}
--- a/internal/process/workload/job.go
+++ b/internal/process/workload/job.go
@@ -240,11 +240,23 @@
 	OutcomeOpen Outcome = ""
 	// OutcomeCompleted means that all tasks succeeded.
 	OutcomeCompleted Outcome = "Completed"
-	// OutcomeFailed means that a task or gang failed JobSpec.Attempts times.
+	// OutcomeFailed means that a task or gang failed JobSpec.Attempts times, or that workers crashed
+	// under a task; Job.Failure says which.
 	OutcomeFailed    Outcome = "Failed"
 	OutcomeCancelled Outcome = "Cancelled"
 )
 
+// Failure is why a job has failed; empty for other outcomes.
+type Failure string
+
+// The reasons for which jobs fail.
+const (
+	// FailureAttempts means that a task or gang used up its attempts.
+	FailureAttempts Failure = "Attempts"
+	// FailureCrashes means that too many workers crashed under a task.
+	FailureCrashes Failure = "Crashes"
+)
+
 // Phase says whether a task is done and, if it is not, what its current run is doing.
 type Phase string
 
@@ -278,6 +290,10 @@
 	Permit Permit `json:",omitempty"`
 	// Moved is the number of runs that were stopped because they made no progress.
 	Moved int `json:",omitempty"`
+	// CrashScore is the sum of the scores of the crashes under the task, and CrashedRun the newest run
+	// with a crash; both are 0 if there was none. See Crash.
+	CrashScore int `json:",omitempty"`
+	CrashedRun Run `json:",omitempty"`
 }
 
 // Step is the state of one step in one occurrence.
@@ -300,6 +316,8 @@
 type Job struct {
 	JobSpec
 	Outcome Outcome `json:",omitempty"`
+	// Failure is set if Outcome is OutcomeFailed. Snapshots of older builds lack it.
+	Failure Failure `json:",omitempty"`
 	// Submitted is when the job was recorded, in Unix milliseconds of the stream's time.
 	Submitted   int64
 	Occurrences []Occurrence
--- a/internal/process/workload/property_test.go
+++ b/internal/process/workload/property_test.go
@@ -25,9 +25,11 @@
 	term       workload.Term
 	endNumbers map[workload.LifeID]uint64
 	// running maps each task to the lives that may still execute it, with their runs.
-	running   map[workload.TaskRef]map[workload.LifeID]workload.Run
-	done      map[workload.TaskRef]bool
-	failed    map[workload.TaskRef]int
+	running map[workload.TaskRef]map[workload.LifeID]workload.Run
+	done    map[workload.TaskRef]bool
+	failed  map[workload.TaskRef]int
+	// crashes counts the workers that crashed under each task.
+	crashes   map[workload.TaskRef]int
 	lifeCount int
 }
 
@@ -42,13 +44,16 @@
 	life := workload.LifeID(fmt.Sprintf("m%d/%d", machine, w.lifeCount))
 	rack := platform.RackID(fmt.Sprint("r", machine/2))
 	ends := w.drawEndsOfEarlierLives(life, machine)
-	err := w.apply("agent", workload.Record{Announce: &workload.Announce{
+	record := workload.Record{Announce: &workload.Announce{
 		Life: life, Machine: platform.WorkerID(fmt.Sprint("m", machine)), Agent: "agent", Service: "s", Rack: rack,
 		Labels: []string{"a", string(rack)}, Room: workload.Resources{Cores: 8000, Memory: 64, Accelerators: 8},
-		Ends: ends,
-	}})
-	if err != nil {
-		w.t.Fatal(err)
+		Ends: ends, Crashes: w.drawCrashes(machine, ends),
+	}}
+	// An agent repeats an announcement if it does not learn the result.
+	for range rapid.IntRange(1, 2).Draw(w.t, "announcements") {
+		if err := w.apply("agent", record); err != nil {
+			w.t.Fatal(err)
+		}
 	}
 	for _, e := range ends {
 		w.countEnd(w.state.Job(e.Task.Job), e.Task, e.How)
@@ -64,6 +69,42 @@
 	}
 }
 
+// drawCrashes returns crashes of random runs that earlier lives on the machine may still execute, without
+// those that the new life has executed instead, and counts them.
+func (w *workerModel) drawCrashes(machine int, ends []workload.End) []workload.Crash {
+	var crashes []workload.Crash
+	for _, life := range w.knownLives() {
+		worker := w.state.Worker(life)
+		if worker.Gone || worker.Machine != platform.WorkerID(fmt.Sprint("m", machine)) {
+			continue
+		}
+		for _, ref := range worker.SortedRuns() {
+			if !w.state.Job(ref.Job).Open() || len(ends) > 0 && ends[0].Task == ref || !rapid.Bool().Draw(w.t, "crash") {
+				continue
+			}
+			w.crashes[ref]++
+			crashes = append(crashes, workload.Crash{Task: ref, Run: worker.Runs[ref], Early: rapid.Bool().Draw(w.t, "early")})
+		}
+	}
+	return crashes
+}
+
+// checkCrashes checks that a job failed because of crashes only if at least two workers crashed under one
+// of its tasks.
+func (w *workerModel) checkCrashes() {
+	for id, j := range w.state.Jobs() {
+		most := 0
+		for ref, n := range w.crashes {
+			if ref.Job == id {
+				most = max(most, n)
+			}
+		}
+		if j.Failure == workload.FailureCrashes && most < 2 {
+			w.t.Fatalf("got job %s failed after at most %d crashes under a task, want at least 2", id, most)
+		}
+	}
+}
+
 // drawEndsOfEarlierLives returns the end of a random run that an earlier life on the machine
 // may still execute and the new life has carried out instead, or nil.
 func (w *workerModel) drawEndsOfEarlierLives(life workload.LifeID, machine int) []workload.End {
@@ -180,6 +221,9 @@
 	if w.failed[m.Task] >= j.Attempts {
 		w.t.Fatalf("task %s starts after %d failures, want fewer than %d", m.Task, w.failed[m.Task], j.Attempts)
 	}
+	if w.crashes[m.Task] > 4 {
+		w.t.Fatalf("task %s starts after %d workers crashed under it, want at most 4", m.Task, w.crashes[m.Task])
+	}
 	for _, earlier := range spec.After {
 		for k := range j.Steps[earlier].Tasks {
 			if !w.done[j.Ref(0, earlier, k)] {
@@ -298,6 +342,7 @@
 		w := &workerModel{
 			t: t, state: workload.NewState(), endNumbers: map[workload.LifeID]uint64{},
 			running: map[workload.TaskRef]map[workload.LifeID]workload.Run{}, done: map[workload.TaskRef]bool{}, failed: map[workload.TaskRef]int{},
+			crashes: map[workload.TaskRef]int{},
 		}
 		w.changeLeader()
 		w.announce()
@@ -323,6 +368,7 @@
 			if err := w.state.Check(); err != nil {
 				t.Fatal(err)
 			}
+			w.checkCrashes()
 			if n%20 == 0 {
 				w.restoreSnapshot()
 			}
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -81,6 +81,8 @@
 	// the machine end, since a minion may carry out an order of its earlier life in the new
 	// one: what has ended there must not be placed again.
 	Ends []End `json:",omitempty"`
+	// Crashes are the crashes of earlier lives on the machine.
+	Crashes []Crash `json:",omitempty"`
 }
 
 // Report updates the condition of a worker and the progress of its runs.
--- a/internal/process/workload/runs.go
+++ b/internal/process/workload/runs.go
@@ -307,7 +307,7 @@
 	step.FailedRun = e.Run
 	step.countFailure(spec, e.Task.Index)
 	if step.failures(spec, e.Task.Index) >= j.Attempts {
-		s.endJob(j, OutcomeFailed)
+		s.failJob(j, FailureAttempts)
 	}
 }
 
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -270,6 +270,12 @@
 	s.emit(Event{EndedJob: j})
 }
 
+// failJob ends the job with OutcomeFailed.
+func (s *State) failJob(j *Job, f Failure) {
+	j.Failure = f
+	s.endJob(j, OutcomeFailed)
+}
+
 func markStopping(tasks []Task) {
 	for i := range tasks {
 		if tasks[i].Phase == PhaseRunning {
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -29,6 +29,9 @@
 			s.endLife(other)
 		}
 	}
+	for _, c := range r.Crashes {
+		s.recordCrash(c)
+	}
 	w.Agent, w.Address = r.Agent, r.Address
 	w.Service, w.FailureDomain, w.Rack, w.Labels = r.Service, r.FailureDomain, r.Rack, r.Labels
 	w.Room = r.Room
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -321,3 +322,48 @@
 		}
 	}
 }
+
+// crash announces the next life on the machine of w0, whose earlier life crashed under the run.
+func (f *fixture) crash(life workload.LifeID, c workload.Crash) {
+	f.t.Helper()
+	f.mustApply(workload.Record{Announce: &workload.Announce{
+		Life: life, Machine: "mw0", Service: "s", Rack: "rw0", Room: workload.Resources{Cores: 8000, Memory: 80, Accelerators: 8},
+		Crashes: []workload.Crash{c},
+	}})
+}
+
+// Two workers crash as they start the task. Its job must fail; otherwise the task crashes one worker after
+// the other.
+func TestEarlyCrashesFailJob(t *testing.T) {
+	f := newFixture(t)
+	f.submit("j", 2, oneAcceleratorStep(1))
+	for run, lives := range [][2]workload.LifeID{{"w0", "life1"}, {"life1", "life2"}} {
+		if err := f.place(ref("j", 0), workload.Run(run+1), lives[0]); err != nil {
+			t.Fatal(err)
+		}
+		f.crash(lives[1], workload.Crash{Task: ref("j", 0), Run: workload.Run(run + 1), Early: true})
+	}
+	if j := f.state.Job("j"); j.Outcome != workload.OutcomeFailed || j.Failure != workload.FailureCrashes {
+		t.Errorf("got outcome %q and failure %q, want Failed because of Crashes", j.Outcome, j.Failure)
+	}
+}
+
+// Workers crash in the course of months under a long-running task. Its job must not fail, since each run
+// had been healthy for long.
+func TestCrashesUnderLongRunsDoNotAddUp(t *testing.T) {
+	f := newFixture(t)
+	s := oneAcceleratorStep(1)
+	s.LongRunning = true
+	f.submit("j", 2, s)
+	life := workload.LifeID("w0")
+	for run := workload.Run(1); run <= 9; run++ {
+		if err := f.place(ref("j", 0), run, life); err != nil {
+			t.Fatal(err)
+		}
+		life = workload.LifeID(fmt.Sprint("life", run))
+		f.crash(life, workload.Crash{Task: ref("j", 0), Run: run, Ran: time.Hour})
+	}
+	if j := f.state.Job("j"); !j.Open() {
+		t.Errorf("got outcome %q, want an open job", j.Outcome)
+	}
+}
