--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -159,7 +159,7 @@
 		cost = -float64(h.idleCores) / float64(h.worker.Room.Cores)
 	}
 	switch {
-	case u.suspect:
+	case u.implicated:
 		// The fewer other tasks there are on the worker, the fewer are lost if it crashes.
 		cost = -cost
 		if h.probation == u.job.ID {
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -32,7 +32,7 @@
 	// free includes the cores of fillers, since fillers reserve none.
 	hasLatencySensitive, hasFiller bool
 	idleCores                      millicores
-	// probation is a job of which a suspect was placed here recently; empty if there is none.
+	// probation is a job of which an implicated task was placed here recently; empty if there is none.
 	probation workload.JobID
 	// placed counts the tasks that this round placed on the host, by step.
 	placed map[workload.StepRef]int
@@ -126,7 +126,7 @@
 	h.placed[first.StepRef()] += count
 	h.idleCores -= u.total(count).Cores
 	h.addTasks(u.step, count)
-	if u.suspect && h.probation == "" {
+	if u.implicated && h.probation == "" {
 		h.probation = u.job.ID
 	}
 	if h.trialOnly {
--- a/internal/process/allocation/suspects_test.go
+++ b/internal/process/allocation/implicated_test.go
@@ -12,7 +12,7 @@
 // The pattern is a worker that crashes under tasks of several jobs, of which one has crashed it. If these
 // started together again, that task would crash the worker of all of them each time, and all their jobs
 // would be given up.
-func TestSuspectsOfDifferentJobsStartApart(t *testing.T) {
+func TestImplicatedTasksOfDifferentJobsStartApart(t *testing.T) {
 	f := newFixture(t, 1, 8)
 	for i := range 3 {
 		f.submit(fmt.Sprint("job", i), 1, step(2, 1, 10*time.Second))
@@ -37,7 +37,7 @@
 				jobs[r.Job] = true
 			}
 			if len(jobs) != 1 {
-				t.Errorf("got suspects of %d jobs on worker %s, want those of 1", len(jobs), life)
+				t.Errorf("got implicated tasks of %d jobs on worker %s, want those of 1", len(jobs), life)
 			}
 		}
 		f.now += 400 * time.Millisecond
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -28,8 +28,8 @@
 	// unit is not placed on them.
 	failedOn       map[workload.LifeID]bool
 	excludesFailed bool
-	// suspect is true if a worker has crashed under a member.
-	suspect bool
+	// implicated is true if a worker has crashed under a member.
+	implicated bool
 }
 
 // rank is the importance of a unit, see compareRank.
@@ -175,7 +175,7 @@
 // newUnit returns the members, which belong to one step, as a unit with its rank, permits and
 // failed workers. run is the highest run number among the members.
 func (p *plan) newUnit(j *workload.Job, step, occurrence int, members []workload.TaskRef, run workload.Run) *unit {
-	u := &unit{job: j, step: j.Steps[step], members: members, run: run, suspect: isSuspect(j, members), duration: p.History.ExpectedDuration(j, step)}
+	u := &unit{job: j, step: j.Steps[step], members: members, run: run, implicated: isImplicated(j, members), duration: p.History.ExpectedDuration(j, step)}
 	objective := p.objective(j)
 	age := p.age(j, occurrence)
 	u.rank = rank{
--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -261,7 +261,7 @@
 	if r.life != nil {
 		lost := r.life.lostRuns(first)
 		r.logLoss(r.life, lost)
-		crashes = append(r.life.crashes, r.life.suspects(lost, r.clock())...)
+		crashes = append(r.life.crashes, r.life.implicated(lost, r.clock())...)
 	}
 	r.life = &minionLife{
 		id: LifeID(a.ID, first.Born), minion: a.ID, born: first.Born, announcement: a, draining: a.Draining, firstToken: r.token(),
--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -83,10 +83,10 @@
 // ended for which the crash counts as early.
 const earlyCrashTime = 500 * time.Millisecond
 
-// suspects returns the lost runs that may have crashed the life: those that had started shortly before,
+// implicated returns the lost runs that may have crashed the life: those that had started shortly before,
 // if there are any, otherwise all. It returns nil if the life did not crash or if the runs may have ended
 // before. now is the time at which the next life was found.
-func (l *minionLife) suspects(lost []workload.TaskRef, now time.Duration) []workload.Crash {
+func (l *minionLife) implicated(lost []workload.TaskRef, now time.Duration) []workload.Crash {
 	if l.lossCause(now) != lossCrashed {
 		return nil
 	}
