--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -16,7 +16,8 @@
 // TaskMinion simulates a minion that runs tasks under leases. Its exported fields must
 // be set and StartLife be called before other methods. It is safe for concurrent use.
 type TaskMinion struct {
-	ID       runner.MinionID
+	ID runner.MinionID
+	// Capacity is the room of the minion until the first call of Resize.
 	Capacity workload.Resources
 	// Need returns what a task reserves, and RunDuration how long a run takes.
 	Need        func(workload.TaskRef) workload.Resources
@@ -162,6 +163,20 @@
 	time.AfterFunc(m.DownTime, m.StartLife)
 }
 
+// Resize changes the room of the minion. Its runs go on, even if they exceed the new room.
+func (m *TaskMinion) Resize(room workload.Resources) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.Capacity = room
+}
+
+// Room returns the current room of the minion.
+func (m *TaskMinion) Room() workload.Resources {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Capacity
+}
+
 // callError returns the error of every call while the minion is unreachable or unresponsive,
 // otherwise nil. The lock must be held.
 func (m *TaskMinion) callError() error {
--- a/internal/process/workload/check.go
+++ b/internal/process/workload/check.go
@@ -16,8 +16,8 @@
 		switch {
 		case used[id] != w.Used || runs[id] != len(w.Runs):
 			return errors.Errorf("workload: worker %s: used resources or runs differ from its tasks", id)
-		case !w.Used.FitsIn(w.Room):
-			return errors.Errorf("workload: worker %s: tasks use more resources than it has", id)
+		case !w.Used.FitsIn(w.LargestRoom) || !w.Room.FitsIn(w.LargestRoom):
+			return errors.Errorf("workload: worker %s: tasks use more resources than it has had", id)
 		case w.Gone && len(w.Runs) > 0:
 			return errors.Errorf("workload: worker %s is gone but has runs", id)
 		}
--- a/internal/process/workload/job.go
+++ b/internal/process/workload/job.go
@@ -50,11 +50,16 @@
 	return Resources{r.Cores + o.Cores, r.Memory + o.Memory, r.Accelerators + o.Accelerators}
 }
 
-// Minus returns r less o. No amount of o may exceed that of r.
+// Minus returns r less o. Amounts of the result are negative where that of o exceeds that of r.
 func (r Resources) Minus(o Resources) Resources {
 	return Resources{r.Cores - o.Cores, r.Memory - o.Memory, r.Accelerators - o.Accelerators}
 }
 
+// Largest returns the larger one of each amount of r and o.
+func (r Resources) Largest(o Resources) Resources {
+	return Resources{max(r.Cores, o.Cores), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
+}
+
 // FitsIn reports whether no amount of r exceeds that of o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.Cores <= o.Cores && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -347,6 +347,8 @@
 	restored.entries = d.Entries
 	maps.Copy(restored.evacuations, d.Evacuations)
 	for id, w := range d.Workers {
+		// Snapshots of older builds lack LargestRoom.
+		w.setRoom(w.Room)
 		restored.workers[id] = w
 	}
 	for id, j := range d.Jobs {
--- a/internal/process/workload/worker.go
+++ b/internal/process/workload/worker.go
@@ -29,8 +29,11 @@
 	Rack          platform.RackID `json:",omitempty"`
 	// Labels include the rack.
 	Labels []string `json:",omitempty"`
-	// Room is the worker's total resources.
+	// Room is the worker's total resources. It may change during a life.
 	Room Resources
+	// LargestRoom has the largest amount of each resource that Room has had in this life. Runs that were
+	// placed before the room shrank may use more than Room, but never more than LargestRoom.
+	LargestRoom Resources
 	// Draining is true once the worker is about to leave. It gets no new tasks and
 	// never stops draining.
 	Draining bool `json:",omitempty"`
@@ -64,9 +67,14 @@
 	return !w.Gone && !w.Draining && !w.Suspected && !w.Unresponsive
 }
 
-// Free returns the resources that no run reserves.
+// Free returns the resources that no run reserves. After the room has shrunk, an amount may be negative.
 func (w *Worker) Free() Resources { return w.Room.Minus(w.Used) }
 
+func (w *Worker) setRoom(room Resources) {
+	w.Room = room
+	w.LargestRoom = w.LargestRoom.Largest(room)
+}
+
 // Allows reports whether the worker belongs to the service and has the step's label.
 func (w *Worker) Allows(service bundle.ServiceName, s StepSpec) bool {
 	return w.Service == service && (s.Label == "" || slices.Contains(w.Labels, s.Label))
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -34,7 +34,7 @@
 	}
 	w.Agent, w.Address = r.Agent, r.Address
 	w.Service, w.FailureDomain, w.Rack, w.Labels = r.Service, r.FailureDomain, r.Rack, r.Labels
-	w.Room = r.Room
+	w.setRoom(r.Room)
 	w.Suspected, w.Unresponsive, w.Gone = false, false, false
 	return nil
 }
