workload, runner, allocation: a minion's room may change while it runs

What callers would see: after a minion's room has shrunk, tasks are started there until the old room is full (LIMIT); after it has grown, the added room stays unused until the agent restarts. Cause: the room was taken from the announcement of a life only. Later status reports carry it, but were read for their draining state alone. Change: a report of the agent carries a room that has changed; the agent starts no run that does not fit beside those that the minion may hold, since the run may have been placed before the room shrank. Nothing is placed on a worker that is over its room in any dimension: the state rejects such a placement, and allocation did not know that.

--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -494,3 +494,24 @@
 		}
 	}
 }
+
+// The room of a worker has shrunk below what its runs use. Nothing may be placed there, not even a task that
+// needs nothing of what is exceeded: the state would reject the placement, and the leader would propose it
+// again and again.
+func TestNothingIsPlacedOnWorkerOverItsRoom(t *testing.T) {
+	f := newFixture(t, 1, 8)
+	f.submit("running", 1, step(6, 1, 10*time.Second))
+	f.decide()
+	room := workload.Resources{Cores: 64000, Memory: 1000, Accelerators: 4}
+	f.mustApply(workload.Record{Report: &workload.Report{Life: "worker0", Room: &room}})
+	f.submit("small", 1, step(1, 0, time.Second))
+	if d := f.decide(); len(d.Places) > 0 {
+		t.Errorf("got placements %v on a worker over its room, want none", d.Places)
+	}
+	f.endWhere(func(r workload.TaskRef, _ *workload.Task) (workload.RunOutcome, bool) {
+		return workload.RunDone, r.Index < 2
+	})
+	if f.decide(); f.running("small") != 1 {
+		t.Errorf("got %d runs of the small task after the worker is within its room, want 1", f.running("small"))
+	}
+}
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -170,17 +170,21 @@
 	return max(n, 0)
 }
 
-// countFitting returns how many times the reservation fits into the capacity, at most limit.
+// countFitting returns how many times the reservation fits into the capacity, at most limit. Nothing fits
+// into a worker whose runs exceed its room in any dimension.
 func countFitting(reservation, capacity workload.Resources, limit int) int {
+	if capacity.Cores < 0 || capacity.Memory < 0 || capacity.Accelerators < 0 {
+		return 0
+	}
 	n := limit
 	if reservation.Cores > 0 {
-		n = min(n, int(max(capacity.Cores, 0)/reservation.Cores))
+		n = min(n, int(capacity.Cores/reservation.Cores))
 	}
 	if reservation.Memory > 0 {
 		n = min(n, int(capacity.Memory/reservation.Memory))
 	}
 	if reservation.Accelerators > 0 {
-		n = min(n, max(capacity.Accelerators, 0)/reservation.Accelerators)
+		n = min(n, capacity.Accelerators/reservation.Accelerators)
 	}
 	return n
 }
--- a/internal/process/allocation/reserve.go
+++ b/internal/process/allocation/reserve.go
@@ -37,7 +37,7 @@
 func clampToCapacity(reservation, capacity workload.Resources) workload.Resources {
 	return workload.Resources{
 		Cores:        min(reservation.Cores, max(capacity.Cores, 0)),
-		Memory:       min(reservation.Memory, capacity.Memory),
+		Memory:       min(reservation.Memory, max(capacity.Memory, 0)),
 		Accelerators: min(reservation.Accelerators, max(capacity.Accelerators, 0)),
 	}
 }
--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -70,8 +70,7 @@
 func (l *minionLife) lostRuns(next Status) []workload.TaskRef {
 	var lost []workload.TaskRef
 	for ref, run := range l.runs {
-		mayRun := run.phase == phaseStarting || run.phase == phaseUnsettled || run.phase == phaseStarted
-		if mayRun && !next.listsRunning(ref, run.number) && !next.listsEnded(ref, run.number) && !l.listsEnded(ref, run.number) {
+		if run.mayHoldRoom() && !next.listsRunning(ref, run.number) && !next.listsEnded(ref, run.number) && !l.listsEnded(ref, run.number) {
 			lost = append(lost, ref)
 		}
 	}
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -175,7 +175,7 @@
 	}
 	unresponsive := l.unreachable || r.clock()-l.lastAnswerAt > unresponsiveAfter
 	saved := r.dueCheckpoints(l, v)
-	changed := l.draining && !v.draining || unresponsive != v.unresponsive
+	changed := l.draining && !v.draining || unresponsive != v.unresponsive || l.announcement.Room != v.room
 	var progress []workload.Progress
 	if !l.reportPending {
 		progress = r.progressReports(l)
@@ -187,13 +187,19 @@
 	if unresponsive != v.unresponsive {
 		r.logger.Warn("minion answers or not", "worker", l.id, "unresponsive", unresponsive, "unreachable", l.unreachable, "silent_ms", (r.clock() - l.lastAnswerAt).Milliseconds())
 	}
-	r.propose(workload.Record{Report: &workload.Report{
+	report := &workload.Report{
 		Life: l.id, Draining: l.draining, Remaining: l.announcement.Remaining, Unresponsive: unresponsive, Saved: saved,
 		Progress: progress,
-	}}, func(err error) {
+	}
+	if room := l.announcement.Room; room != v.room {
+		report.Room = &room
+	}
+	r.propose(workload.Record{Report: report}, func(err error) {
 		l.reportPending = false
 		if err != nil {
 			r.logger.Warn("worker report was not recorded", "worker", l.id, "error", err)
+		} else if report.Room != nil {
+			r.logger.Info("room has changed", "worker", l.id, "room", *report.Room, "before", v.room, "runs", len(v.runs))
 		}
 	})
 }
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -87,6 +87,8 @@
 		r.refuse(l, ref, run, "minion drains")
 	case run.phase == phaseNew && v.evacuated:
 		r.refuse(l, ref, run, "failure domain is evacuated")
+	case run.phase == phaseNew && !l.hasRoomFor(a, v):
+		r.refuse(l, ref, run, string(ReasonNoRoom))
 	case run.phase == phaseNew && l.unreachable && v.unresponsive:
 		// The leader knows that the worker takes no tasks, so it places the task elsewhere.
 		r.refuse(l, ref, run, "minion cannot be reached")
@@ -101,6 +103,23 @@
 	}
 }
 
+// hasRoomFor reports whether the run fits into the minion's room beside the runs that it may hold already.
+// The run may have been placed before the room shrank.
+func (l *minionLife) hasRoomFor(a assignedRun, v view) bool {
+	used := a.reservation
+	for ref, other := range v.runs {
+		if run := l.runs[ref]; run != nil && run.number == other.run && run.mayHoldRoom() {
+			used = used.Plus(other.reservation)
+		}
+	}
+	return used.FitsIn(l.announcement.Room)
+}
+
+// mayHoldRoom reports whether the minion may hold room for the run.
+func (s *runState) mayHoldRoom() bool {
+	return s.phase == phaseStarting || s.phase == phaseUnsettled || s.phase == phaseStarted
+}
+
 // mayStart reports whether the view is recent enough to start a run: an evacuation that it does not
 // contain was requested less than Settings.EvacuationTime ago. The other half of that time is for
 // the request to reach the stream.
--- a/internal/process/runner/view.go
+++ b/internal/process/runner/view.go
@@ -22,6 +22,7 @@
 	// evacuated is true while the worker's failure domain is evacuated.
 	evacuated bool
 	agent     incarnation.ID
+	room      workload.Resources
 	seenEnds  uint64
 	runs      map[workload.TaskRef]assignedRun
 }
@@ -30,10 +31,11 @@
 type assignedRun struct {
 	run workload.Run
 	// wanted is true if the run must continue or start, false if it must be stopped.
-	wanted  bool
-	payload string
-	resume  workload.Checkpoint
-	permit  workload.Permit
+	wanted      bool
+	reservation workload.Resources
+	payload     string
+	resume      workload.Checkpoint
+	permit      workload.Permit
 	// checkpointing is set if the task saves checkpoints.
 	checkpointing bool
 	// estimate is the caller's estimate of the task's duration; 0 if there is none.
@@ -60,12 +62,12 @@
 		v.known = true
 		v.gone, v.suspected, v.draining, v.unresponsive = w.Gone, w.Suspected, w.Draining, w.Unresponsive
 		v.evacuated = r.state.IsEvacuated(w)
-		v.agent, v.seenEnds = w.Agent, w.SeenEnds
+		v.agent, v.room, v.seenEnds = w.Agent, w.Room, w.SeenEnds
 		v.runs = make(map[workload.TaskRef]assignedRun, len(w.Runs))
 		for ref, run := range w.Runs {
 			j, _, t, _ := r.state.Task(ref)
 			v.runs[ref] = assignedRun{
-				run: run, wanted: j.Open() && t.Phase == workload.PhaseRunning,
+				run: run, wanted: j.Open() && t.Phase == workload.PhaseRunning, reservation: j.Steps[ref.Step].Reservation(),
 				payload: j.Payload, resume: t.Saved, permit: t.Permit, checkpointing: j.Steps[ref.Step].Checkpointing,
 				estimate: j.Steps[ref.Step].Estimate, filler: j.Steps[ref.Step].Filler, targetLatency: j.Steps[ref.Step].TailTarget,
 			}
--- a/internal/process/workload/property_test.go
+++ b/internal/process/workload/property_test.go
@@ -291,14 +291,18 @@
 	}
 }
 
-// disturbWorker drains, suspects, resumes, lapses or removes a random life.
+// disturbWorker drains, suspects, resumes, lapses, removes or resizes a random life.
 func (w *workerModel) disturbWorker() {
 	lives := w.knownLives()
 	if len(lives) == 0 {
 		return
 	}
 	life := rapid.SampledFrom(lives).Draw(w.t, "life")
-	switch rapid.IntRange(0, 4).Draw(w.t, "disturbance") {
+	switch rapid.IntRange(0, 5).Draw(w.t, "disturbance") {
+	case 5:
+		n := rapid.IntRange(0, 8).Draw(w.t, "room")
+		room := workload.Resources{Cores: platform.Millicores(1000 * n), Memory: platform.Megabytes(8 * n), Accelerators: n}
+		_ = w.apply("agent", workload.Record{Report: &workload.Report{Life: life, Room: &room}})
 	case 0:
 		_ = w.apply("agent", workload.Record{Report: &workload.Report{Life: life, Draining: true}})
 	case 1:
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -95,6 +95,8 @@
 	Remaining time.Duration `json:",omitempty"`
 	// Unresponsive is true while the worker does not answer its agent.
 	Unresponsive bool `json:",omitempty"`
+	// Room is the worker's total resources if they have changed; nil if not.
+	Room *Resources `json:",omitempty"`
 	// Saved holds new checkpoints of running tasks.
 	Saved []SavedCheckpoint `json:",omitempty"`
 	// Progress holds new forecasts for running tasks.
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -47,6 +47,9 @@
 	w.Draining = w.Draining || r.Draining
 	w.Remaining = max(w.Remaining, r.Remaining)
 	w.Unresponsive = r.Unresponsive
+	if r.Room != nil {
+		w.setRoom(*r.Room)
+	}
 	s.saveCheckpoints(w, r.Saved)
 	for _, p := range r.Progress {
 		if _, _, t, ok := s.Task(p.Task); ok && t.Worker == w.Life && t.Run == p.Run {
