ledger, gang: a job that crashes its workers is dead-lettered

A gang that crashed its workers was placed again and again, each time on other ones, and never ended. Cause: the driver records a gang whose lease was lost as stopped, like one that was preempted, and only tasks that fail count against the job. Change: the driver reports the crash when a worker answers and does not know a lease that must still be held. A worker that does not answer is no evidence: an entry that is cut off would give up all its jobs. After Sharing.DeadLetterAfter runs in a row that ended so, each within a minute and without progress, the job is dead-lettered. Evidence: TestJobThatCrashesItsWorkersIsDeadLettered failed before (no end within ten minutes); TestJobOutlivesRestartsOfItsWorkers fails without the condition on time and progress. Open: a worker that crashes before it answers a start, and does not answer until the lease lapses, still counts as away.

--- a/internal/process/entry/workers_test.go
+++ b/internal/process/entry/workers_test.go
@@ -183,3 +183,39 @@
 		}
 	})
 }
+
+// A task crashes each worker that starts it. Its job must be dead-lettered, as one that fails on each worker
+// is, and the other jobs must end.
+func TestJobThatCrashesItsWorkersIsDeadLettered(t *testing.T) {
+	inVirtualTime(t, func(in *installation) {
+		in.start()
+		in.submit(in.entries["e1"], "timber", client.Job{ID: "crashing", Tasks: 2, Accelerators: 8, Command: "crash 3s"})
+		in.submit(in.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 4, Accelerators: 8, Command: "work 60s"})
+		in.waitUntil("end of the job that crashes its workers", 10*time.Minute, in.hasEnded("timber", "crashing"))
+		if s := in.job(in.any(), "timber", "crashing"); s.Outcome != "DeadLettered" || s.Error == "" {
+			in.t.Errorf("got job %+v, want outcome DeadLettered and an error text", s)
+		}
+		if crashes := in.workers.Crashes(); crashes > 2*5 {
+			in.t.Errorf("got %d crashes of workers, want at most 10: five runs of two tasks", crashes)
+		}
+		in.waitUntil("end of the other job", 5*time.Minute, in.hasEnded("timber", "cut"))
+	})
+}
+
+// Workers restart under a gang again and again, each time after some minutes of work. The job must go on:
+// it does not crash them.
+func TestJobOutlivesRestartsOfItsWorkers(t *testing.T) {
+	inVirtualTime(t, func(in *installation) {
+		in.start()
+		in.submit(in.entries["e1"], "timber", client.Job{ID: "cut", Tasks: 2, Accelerators: 8, Command: "work 30m"})
+		for restart := range 5 {
+			in.waitUntil("start", 5*time.Minute, in.hasRunning("timber", "cut", 2))
+			time.Sleep(4 * time.Minute)
+			in.workers.Crash(platform.WorkerID(in.job(in.any(), "timber", "cut").Tasks[restart%2].Worker))
+		}
+		in.waitUntil("end", 40*time.Minute, in.hasEnded("timber", "cut"))
+		if s := in.job(in.any(), "timber", "cut"); s.Outcome != "Succeeded" {
+			in.t.Errorf("got outcome %s, error %q, want Succeeded", s.Outcome, s.Error)
+		}
+	})
+}
--- a/internal/process/gang/gang.go
+++ b/internal/process/gang/gang.go
@@ -109,7 +109,7 @@
 		return g.driver.workers.Start(ctx, a.Worker, g.job.LeaseID(task), g.job.Epoch, t)
 	})
 	if err != nil {
-		g.stopWithCheckpoint(ctx, fmt.Sprintf("start: %v", err), g.unreachableWorkers(err))
+		g.stopWithCheckpoint(ctx, ledger.Stopped{Reason: fmt.Sprintf("start: %v", err), Away: g.unreachableWorkers(err)})
 		return
 	}
 	g.watch(ctx)
@@ -149,7 +149,7 @@
 func (g *gang) takeOver(ctx context.Context) {
 	unreachable, err := g.acquireAll(ctx)
 	if err != nil {
-		g.stopWithCheckpoint(ctx, fmt.Sprintf("take over: %v", err), unreachable)
+		g.stopWithCheckpoint(ctx, ledger.Stopped{Reason: fmt.Sprintf("take over: %v", err), Away: unreachable})
 		return
 	}
 	g.takenOver = true
@@ -200,10 +200,10 @@
 			g.finish(ctx, ledger.Finish{Failed: true, Error: status.errorText, Worker: worker})
 			return
 		case status.leaseLost:
-			g.stopWithCheckpoint(ctx, fmt.Sprintf("lease on %s was lost", worker), nil)
+			g.stopWithCheckpoint(ctx, ledger.Stopped{Reason: fmt.Sprintf("lease on %s was lost", worker), Crashed: g.hasCrashed(status.task, time.Now())})
 			return
 		case status.leaseExpiring:
-			g.stopWithCheckpoint(ctx, fmt.Sprintf("worker %s does not answer", worker), []platform.WorkerID{worker})
+			g.stopWithCheckpoint(ctx, ledger.Stopped{Reason: fmt.Sprintf("worker %s does not answer", worker), Away: []platform.WorkerID{worker}})
 			return
 		case g.stopping():
 			g.stopOnRequest(ctx)
@@ -268,16 +268,24 @@
 		g.abort(ctx, errors.New("gang: stop requested"), nil)
 		return
 	}
-	g.stopWithCheckpoint(ctx, "stop requested", nil)
+	g.stopWithCheckpoint(ctx, ledger.Stopped{Reason: "stop requested"})
 }
 
-// stopWithCheckpoint saves a checkpoint, stops every task and records the progress.
-func (g *gang) stopWithCheckpoint(ctx context.Context, reason string, unreachable []platform.WorkerID) {
-	progress := g.checkpoint(ctx)
+// stopWithCheckpoint saves a checkpoint, stops every task and proposes the record, with the job, epoch and
+// progress filled in.
+func (g *gang) stopWithCheckpoint(ctx context.Context, s ledger.Stopped) {
+	s.Job, s.Epoch = g.job.ID, g.job.Epoch
+	s.Progress = g.checkpoint(ctx)
 	g.releaseAll(ctx)
-	g.recordEnd(ctx, ledger.Record{Stopped: &ledger.Stopped{
-		Job: g.job.ID, Epoch: g.job.Epoch, Progress: progress, Reason: reason, Away: unreachable,
-	}})
+	g.recordEnd(ctx, ledger.Record{Stopped: &s})
+}
+
+// hasCrashed reports whether the worker of the task has crashed: it does not know the lease, although that
+// must still be held.
+func (g *gang) hasCrashed(task int, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reports[task].State == platform.TaskGone && now.Before(g.stopAt[task])
 }
 
 // abort releases the leases of a gang that never ran and records why.
--- a/internal/process/ledger/job.go
+++ b/internal/process/ledger/job.go
@@ -154,6 +154,9 @@
 	Ran bool
 	// FailedOn are the different workers on which the job failed.
 	FailedOn []platform.WorkerID `json:",omitempty"`
+	// Crashes counts the runs that ended with the crash of a worker. It begins anew after a long run or
+	// progress.
+	Crashes int `json:",omitempty"`
 	// Cancelled is true once a cancellation was recorded before the end.
 	Cancelled bool    `json:",omitempty"`
 	Outcome   Outcome `json:",omitempty"`
--- a/internal/process/ledger/lifecycle.go
+++ b/internal/process/ledger/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"corianderpass/internal/process/adjacency"
 	"corianderpass/pkg/platform"
@@ -183,15 +184,34 @@
 	}
 	s.loseWorkers(r.Away)
 	s.release(j)
+	if r.Crashed {
+		s.countCrash(j, r)
+	}
 	j.Progress = max(j.Progress, r.Progress)
 	if j.Ran && j.RunOnce && !j.Cancelled {
 		s.endJob(j, OutcomeFailed, "stopped, and may run only once: "+r.Reason)
 		return nil
 	}
+	if j.Crashes >= s.bundle.Sharing.DeadLetterAfter && !j.Cancelled {
+		s.endJob(j, OutcomeDeadLettered, fmt.Sprintf("workers crashed under %d runs: %s", j.Crashes, r.Reason))
+		return nil
+	}
 	s.requeue(j)
 	return nil
 }
 
+// provenTime is how long a gang must have run so that the crash of a worker is counted as its first.
+// Otherwise the crashes of months would add up.
+const provenTime = time.Minute
+
+// countCrash counts a run that ended with the crash of a worker.
+func (s *State) countCrash(j *Job, r Stopped) {
+	if r.Progress > j.Progress || s.now.Sub(j.Started) >= provenTime {
+		j.Crashes = 0
+	}
+	j.Crashes++
+}
+
 // release removes a job's holdings and its placement, and places slots on the freed
 // capacity. It does not change the job's phase.
 func (s *State) release(j *Job) {
--- a/internal/process/ledger/record.go
+++ b/internal/process/ledger/record.go
@@ -102,6 +102,9 @@
 	Reason   string
 	// Away are workers that did not answer. They become lost.
 	Away []platform.WorkerID `json:",omitempty"`
+	// Crashed is true if a worker has crashed under the gang: it answers, and does not know a lease that
+	// has not expired.
+	Crashed bool `json:",omitempty"`
 }
 
 // Finish records that the tasks of a running gang have ended on their own. The driver of
--- a/internal/process/standin/workers.go
+++ b/internal/process/standin/workers.go
@@ -19,7 +19,8 @@
 // concurrent use.
 //
 // The command of a task says what it does: "work DURATION" succeeds and "fail DURATION"
-// fails after this duration; "use CORES MEGABYTES DURATION" succeeds after it and is
+// fails after this duration; "crash DURATION" makes the worker lose all its leases and tasks as the task
+// starts, and be away for this duration; "use CORES MEGABYTES DURATION" succeeds after it and is
 // reported to use these cores and this memory. Any other command succeeds after a
 // second.
 type Workers struct {
@@ -27,6 +28,22 @@
 	workers map[platform.WorkerID]*worker
 	// renewals counts the calls of Renew that reached a worker.
 	renewals int
+	// crashes counts the workers that crashed under a task.
+	crashes int
+}
+
+// Crash makes a worker lose all its leases and tasks.
+func (w *Workers) Crash(id platform.WorkerID) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.workers[id].leases = map[platform.LeaseID]*heldLease{}
+}
+
+// Crashes returns the number of times that a worker crashed under a task.
+func (w *Workers) Crashes() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.crashes
 }
 
 // Renewals returns the number of calls of Renew that reached a worker.
@@ -53,7 +70,9 @@
 type worker struct {
 	platform.Worker
 	faults WorkerFaults
-	leases map[platform.LeaseID]*heldLease
+	// awayUntil is when the worker is back after a crash.
+	awayUntil time.Time
+	leases    map[platform.LeaseID]*heldLease
 	// highestEpochs has the highest epoch seen for each lease, also after its end.
 	highestEpochs map[platform.LeaseID]platform.Epoch
 }
@@ -78,8 +97,9 @@
 
 // plan is what the command of a simulated task asks for.
 type plan struct {
-	length time.Duration
-	fails  bool
+	length  time.Duration
+	fails   bool
+	crashes bool
 	// cores and memory are what the task is reported to use; 0 means as much as its
 	// lease claims.
 	cores  platform.Cores
@@ -97,6 +117,7 @@
 		p.length = d
 	}
 	p.fails = words[0] == "fail"
+	p.crashes = words[0] == "crash"
 	if words[0] == "use" && len(words) == 4 {
 		_, _ = fmt.Sscan(words[1], &p.cores)
 		_, _ = fmt.Sscan(words[2], &p.memory)
@@ -180,17 +201,17 @@
 }
 
 // withWorker calls f with the worker and the current time, and returns the error of f.
-// It returns platform.ErrWorkerAway without calling f if the worker is unknown or has
-// the fault Away or Gone, and after calling f if it has the fault LoseAnswers. The lock
+// It returns platform.ErrWorkerAway without calling f if the worker is unknown, has
+// crashed or has the fault Away or Gone, and after calling f if it has the fault LoseAnswers. The lock
 // is held during f.
 func (w *Workers) withWorker(id platform.WorkerID, f func(wk *worker, now time.Time) error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	wk, known := w.workers[id]
-	if !known || wk.faults.Away || wk.faults.Gone {
+	now := time.Now()
+	if !known || wk.faults.Away || wk.faults.Gone || now.Before(wk.awayUntil) {
 		return platform.ErrWorkerAway
 	}
-	now := time.Now()
 	wk.refresh(now)
 	err := f(wk, now)
 	if wk.faults.LoseAnswers {
@@ -292,6 +313,11 @@
 		if wk.faults.FailTasks {
 			l.state = platform.TaskFailed
 		}
+		if l.plan.crashes {
+			w.crashes++
+			wk.leases = map[platform.LeaseID]*heldLease{}
+			wk.awayUntil = now.Add(l.plan.length)
+		}
 		return nil
 	})
 }
