workload, runner: the state keeps the evidence of a crash while the minion is down

What callers saw: beside a rolling restart of the agents a task that crashes its minions was still started six times and more. Cause: the agent reported the crash with the next life of its minion, 3 s later. An agent that restarted in between knew nothing of it, so three crashes of one task went uncounted in a row. Change: the agent reports the probable crash at once, as soon as its minion has no listener. The state keeps that with the life and counts it when another life is announced on the machine, by whichever agent. If the life goes on, its next report or announcement removes it: a minion that is cut off can refuse connections too. TestCrashIsCountedAlthoughAgentRestarts failed before (14 starts), and TestCrashOfLifeThatGoesOnIsNotCounted fails if the announcement does not remove the crashes.

--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -109,6 +109,15 @@
 	return others
 }
 
+// probableCrashes returns the crashes of the life if the minion has had no listener since soon after it last
+// answered. It may have been cut off instead, and run on.
+func (l *minionLife) probableCrashes() []workload.Crash {
+	if l.refusedAt == 0 {
+		return nil
+	}
+	return l.implicated(l.lostRuns(Status{}), l.refusedAt)
+}
+
 // logLoss logs and counts the runs that were lost with the life.
 func (r *Runner) logLoss(l *minionLife, lost []workload.TaskRef) {
 	cause := l.lossCause(r.clock())
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -175,7 +175,8 @@
 	}
 	unresponsive := l.unreachable || r.clock()-l.lastAnswerAt > unresponsiveAfter
 	saved := r.dueCheckpoints(l, v)
-	changed := l.draining && !v.draining || unresponsive != v.unresponsive || l.announcement.Room != v.room
+	crashes := l.probableCrashes()
+	changed := l.draining && !v.draining || unresponsive != v.unresponsive || l.announcement.Room != v.room || len(crashes) != v.crashes
 	var progress []workload.Progress
 	if !l.reportPending {
 		progress = r.progressReports(l)
@@ -189,7 +190,7 @@
 	}
 	report := &workload.Report{
 		Life: l.id, Draining: l.draining, Remaining: l.announcement.Remaining, Unresponsive: unresponsive, Saved: saved,
-		Progress: progress,
+		Progress: progress, Crashes: crashes,
 	}
 	if room := l.announcement.Room; room != v.room {
 		report.Room = &room
--- a/internal/process/runner/view.go
+++ b/internal/process/runner/view.go
@@ -23,8 +23,10 @@
 	evacuated bool
 	agent     incarnation.ID
 	room      workload.Resources
-	seenEnds  uint64
-	runs      map[workload.TaskRef]assignedRun
+	// crashes is the number of crashes in the newest report.
+	crashes  int
+	seenEnds uint64
+	runs     map[workload.TaskRef]assignedRun
 }
 
 // assignedRun is a run that the workload has placed on this worker.
@@ -62,7 +64,7 @@
 		v.known = true
 		v.gone, v.suspected, v.draining, v.unresponsive = w.Gone, w.Suspected, w.Draining, w.Unresponsive
 		v.evacuated = r.state.IsEvacuated(w)
-		v.agent, v.room, v.seenEnds = w.Agent, w.Room, w.SeenEnds
+		v.agent, v.room, v.crashes, v.seenEnds = w.Agent, w.Room, len(w.Crashes), w.SeenEnds
 		v.runs = make(map[workload.TaskRef]assignedRun, len(w.Runs))
 		for ref, run := range w.Runs {
 			j, _, t, _ := r.state.Task(ref)
--- a/internal/process/scheduler/crashing_tasks_test.go
+++ b/internal/process/scheduler/crashing_tasks_test.go
@@ -64,3 +64,47 @@
 		in.await("job", workload.OutcomeCompleted, 10*time.Second)
 	})
 }
+
+// The agent restarts each time that its minion has crashed under a task, before the minion is back. The
+// crashes must be counted all the same, or a rolling restart of agents hides them.
+func TestCrashIsCountedAlthoughAgentRestarts(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addPromptWorker()
+		task := workload.TaskRef{Job: "crashing"}
+		in.setCrashing(task, standin.CrashAfterAnswer)
+		in.submit(spec("crashing", 1, smallTask()))
+		for start := time.Now(); in.outcome("crashing") == workload.OutcomeOpen && time.Since(start) < 60*time.Second; {
+			starts, _ := in.runLog.Counts(task)
+			for in.outcome("crashing") == workload.OutcomeOpen && time.Since(start) < 60*time.Second {
+				if n, _ := in.runLog.Counts(task); n > starts {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(500 * time.Millisecond)
+			a.stop()
+			time.Sleep(time.Second)
+			a.start()
+		}
+		if starts, _ := in.runLog.Counts(task); in.outcome("crashing") != workload.OutcomeFailed || starts > maxCrashingStarts {
+			t.Errorf("got outcome %q after %d starts, want Failed after at most %d", in.outcome("crashing"), starts, maxCrashingStarts)
+		}
+	})
+}
+
+// Connections to a minion are refused for some seconds, again and again, while its tasks go on. Nothing has
+// crashed, so that no job may be given up.
+func TestRefusedConnectionsCountNoCrash(t *testing.T) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
+		a := in.addPromptWorker()
+		in.setDuration(20 * time.Second)
+		in.submit(spec("job", 2, smallTask()))
+		for range 5 {
+			time.Sleep(time.Second)
+			a.minion.SetRefusing(true)
+			time.Sleep(2 * time.Second)
+			a.minion.SetRefusing(false)
+		}
+		in.await("job", workload.OutcomeCompleted, 30*time.Second)
+	})
+}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -155,6 +155,13 @@
 	m.unreachable = true
 }
 
+// SetRefusing sets whether no order reaches the minion although its runs go on.
+func (m *TaskMinion) SetRefusing(refusing bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unreachable = refusing
+}
+
 // crashAndRestart crashes the minion, which is back after DownTime.
 func (m *TaskMinion) crashAndRestart() {
 	m.mu.Lock()
--- a/internal/process/workload/crash.go
+++ b/internal/process/workload/crash.go
@@ -1,6 +1,10 @@
 package workload
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Crash reports that a worker crashed under a run: while it executed the run, or while it may have
 // begun to.
@@ -25,6 +29,21 @@
 	provenTime = time.Minute
 )
 
+// recordCrashes counts the crashes of all other lives on the machine of w: those that the agent has passed
+// with the announcement of w, and those of the reports of these lives. An earlier agent may have made them.
+func (s *State) recordCrashes(w *Worker, announced []Crash) {
+	w.Crashes = nil
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		if other := s.workers[id]; other.Machine == w.Machine {
+			announced = append(announced, other.Crashes...)
+			other.Crashes = nil
+		}
+	}
+	for _, c := range announced {
+		s.recordCrash(c)
+	}
+}
+
 // recordCrash counts the crash, once for each run, and fails the job when its task has reached
 // maxCrashScore.
 func (s *State) recordCrash(c Crash) {
--- a/internal/process/workload/property_test.go
+++ b/internal/process/workload/property_test.go
@@ -78,13 +78,22 @@
 		if worker.Gone || worker.Machine != platform.WorkerID(fmt.Sprint("m", machine)) {
 			continue
 		}
+		var ofLife []workload.Crash
 		for _, ref := range worker.SortedRuns() {
 			if !w.state.Job(ref.Job).Open() || len(ends) > 0 && ends[0].Task == ref || !rapid.Bool().Draw(w.t, "crash") {
 				continue
 			}
 			w.crashes[ref]++
-			crashes = append(crashes, workload.Crash{Task: ref, Run: worker.Runs[ref], Early: rapid.Bool().Draw(w.t, "early")})
+			ofLife = append(ofLife, workload.Crash{Task: ref, Run: worker.Runs[ref], Early: rapid.Bool().Draw(w.t, "early")})
 		}
+		if rapid.Bool().Draw(w.t, "reported") {
+			// An earlier agent has reported them, and cannot announce the next life.
+			if err := w.apply("agent", workload.Record{Report: &workload.Report{Life: life, Unresponsive: true, Crashes: ofLife}}); err != nil {
+				w.t.Fatal(err)
+			}
+			continue
+		}
+		crashes = append(crashes, ofLife...)
 	}
 	return crashes
 }
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -81,7 +81,7 @@
 	// the machine end, since a minion may carry out an order of its earlier life in the new
 	// one: what has ended there must not be placed again.
 	Ends []End `json:",omitempty"`
-	// Crashes are the crashes of earlier lives on the machine.
+	// Crashes are the crashes of earlier lives on the machine, as far as the agent has observed them.
 	Crashes []Crash `json:",omitempty"`
 }
 
@@ -97,6 +97,9 @@
 	Unresponsive bool `json:",omitempty"`
 	// Room is the worker's total resources if they have changed; nil if not.
 	Room *Resources `json:",omitempty"`
+	// Crashes are the crashes of the life if it has ended, of which its agent is not certain. They replace
+	// those of the report before.
+	Crashes []Crash `json:",omitempty"`
 	// Saved holds new checkpoints of running tasks.
 	Saved []SavedCheckpoint `json:",omitempty"`
 	// Progress holds new forecasts for running tasks.
--- a/internal/process/workload/worker.go
+++ b/internal/process/workload/worker.go
@@ -55,6 +55,10 @@
 	// LastFailed is the job that was last counted in FailureStreak; empty if none.
 	LastFailed JobID `json:",omitempty"`
 
+	// Crashes are those of the newest report. They are counted once another life is announced on the
+	// machine, which shows that this one has ended, and removed if this one is announced again.
+	Crashes []Crash `json:",omitempty"`
+
 	// Runs maps the tasks that reserve resources here to their runs. It is derived
 	// from the jobs.
 	Runs map[TaskRef]Run `json:"-"`
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -29,9 +29,7 @@
 			s.endLife(other)
 		}
 	}
-	for _, c := range r.Crashes {
-		s.recordCrash(c)
-	}
+	s.recordCrashes(w, r.Crashes)
 	w.Agent, w.Address = r.Agent, r.Address
 	w.Service, w.FailureDomain, w.Rack, w.Labels = r.Service, r.FailureDomain, r.Rack, r.Labels
 	w.setRoom(r.Room)
@@ -47,6 +45,7 @@
 	w.Draining = w.Draining || r.Draining
 	w.Remaining = max(w.Remaining, r.Remaining)
 	w.Unresponsive = r.Unresponsive
+	w.Crashes = r.Crashes
 	if r.Room != nil {
 		w.setRoom(*r.Room)
 	}
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -367,3 +367,29 @@
 		t.Errorf("got outcome %q, want an open job", j.Outcome)
 	}
 }
+
+// A worker that seemed to have crashed goes on, which its next report or the announcement by another agent
+// shows. When its life ends later, the earlier report must not count against the task.
+func TestCrashOfLifeThatGoesOnIsNotCounted(t *testing.T) {
+	for name, goesOn := range map[string]workload.Record{
+		"report":       {Report: &workload.Report{Life: "w0"}},
+		"announcement": {Announce: &workload.Announce{Life: "w0", Machine: "mw0", Service: "s", Room: workload.Resources{Cores: 8000, Memory: 80, Accelerators: 8}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.submit("j", 2, oneAcceleratorStep(1))
+			for run := workload.Run(1); run <= 3; run++ {
+				if err := f.place(ref("j", 0), run, "w0"); err != nil {
+					t.Fatal(err)
+				}
+				f.mustApply(workload.Record{Report: &workload.Report{Life: "w0", Unresponsive: true, Crashes: []workload.Crash{{Task: ref("j", 0), Run: run, Early: true}}}})
+				f.mustApply(goesOn)
+				f.end("w0", uint64(run), ref("j", 0), run, workload.RunStopped)
+			}
+			f.mustApply(workload.Record{Announce: &workload.Announce{Life: "next", Machine: "mw0", Service: "s"}})
+			if _, _, task, _ := f.state.Task(ref("j", 0)); task.CrashScore != 0 {
+				t.Errorf("got crash score %d, want 0", task.CrashScore)
+			}
+		})
+	}
+}
