entry: a repeatable request that gets no answer twice is not sent to a third backend server

What callers would see: one repeatable request that crashes the backend server that runs it was sent to six of them in a row, and took the retries of all other requests with it. Cause: a dispatch of unknown fate was retried as long as the retry budget and the deadline allowed. The budget limits the load of retries, not the harm that one request can do. Change: a repeatable request is retried only until two of its dispatches have an unknown fate; its caller then gets that fate. Dispatches that have certainly not run do not count.

--- a/internal/process/entry/requests.go
+++ b/internal/process/entry/requests.go
@@ -41,12 +41,18 @@
 	return e.serveUnclaimed(ctx, c)
 }
 
+// maxUnknownFates is the number of dispatches of unknown fate after which a repeatable request is not
+// retried. It may crash each backend server that runs it.
+const maxUnknownFates = 2
+
 // serveUnclaimed runs a request without a claim in the ledger. A request that did not run is
-// retried within the retry budget, and so is a repeatable one of unknown fate. Any other
-// request of unknown fate may have run, so its error is returned at once.
+// retried within the retry budget, and so is a repeatable one until maxUnknownFates of its
+// dispatches have an unknown fate. Any other request of unknown fate may have run, so its error
+// is returned at once.
 func (e *Entry) serveUnclaimed(ctx context.Context, c caller.Call) (ledger.Answer, error) {
 	e.retryBudget.AddRequest(e.register.Current().Bundle.Limits.RetryShare)
 	var avoid []incarnation.ID
+	unknownFates := 0
 	for backoff := initialBackoff; ; {
 		admission, err := e.admit(ctx, c, avoid)
 		if err != nil {
@@ -59,7 +65,10 @@
 			continue
 		}
 		callErr := e.replyError(c, reply)
-		retriable := reply.Fate == ledger.FateNotRun || reply.Fate == ledger.FateUnknown && c.Repeatable
+		if reply.Fate == ledger.FateUnknown {
+			unknownFates++
+		}
+		retriable := reply.Fate == ledger.FateNotRun || reply.Fate == ledger.FateUnknown && c.Repeatable && unknownFates < maxUnknownFates
 		if !retriable || ctx.Err() != nil || !e.retryBudget.TakeRetry() {
 			return reply.Answer, callErr
 		}
--- a/internal/process/entry/requests_test.go
+++ b/internal/process/entry/requests_test.go
@@ -380,3 +380,27 @@
 		}
 	})
 }
+
+// A repeatable request makes each backend server that runs it close the connection, as one does that crashes.
+// It must not be sent to server after server while the retry budget lasts.
+func TestRequestThatCrashesServersIsGivenUp(t *testing.T) {
+	inVirtualTime(t, func(in *installation) {
+		in.start()
+		for _, a := range in.agentList() {
+			a.minion.SetFaults(standin.MinionFaults{CloseConnection: true})
+		}
+		_, err := in.call(in.entries["e1"], "", "crash", true)
+		if e := client.AsError(err); e == nil || e.Fate != client.FateUnknown {
+			in.t.Errorf("got error %v, want fate Unknown", err)
+		}
+		runs := 0
+		for _, a := range in.agentList() {
+			for _, n := range a.minion.Runs() {
+				runs += n
+			}
+		}
+		if runs > 2 {
+			in.t.Errorf("got %d runs, want at most 2", runs)
+		}
+	})
+}
