runner: a closed connection is evidence of a crash too

What callers would see: a task that takes the whole host of its minion down is started again without end. A host that is down does not refuse connections; the agent only saw that the minion had not answered for 3 s before its next life, which may as well be a minion whose leases had run out. Cause: the time of the crash was taken from the first refused connection, or else from the next life. Change: it is the time at which a connection was first closed without an answer or refused since the newest answer. Only a refused connection makes the agent report the crash before the next life; connections are also reset while a minion goes on. Evidence: the case silent of TestTaskThatCrashesMinionsIsGivenUp, alone and in a gang, failed before.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -60,9 +60,10 @@
 	// unreachable is true from an order that was not sent until the next successful poll: the
 	// minion has no listener, as after a crash.
 	unreachable bool
-	// refusedAt is when an order was first refused because the minion had no listener; 0 if the
-	// newest poll was answered.
-	refusedAt time.Duration
+	// brokenAt is when the connection of an order was first closed without an answer, or refused, since
+	// the newest answered poll; 0 if none was. refused is set if the minion had no listener.
+	brokenAt time.Duration
+	refused  bool
 	// pollPending is set while a poll sent by pollNow has no answer yet.
 	pollPending bool
 	runs        map[workload.TaskRef]*runState
@@ -223,7 +224,7 @@
 				r.fence()
 			}
 			l.unreachable = l.unreachable || errors.Is(err, ErrNotSent)
-			l.noteRefusal(err, receivedAt)
+			l.noteFailure(err, receivedAt)
 		}
 		r.logger.Debug("minion poll failed", "minion", order.ID, "error", err)
 		return
@@ -275,7 +276,7 @@
 func (l *minionLife) update(order Poll, status Status, sentAt, receivedAt time.Duration) {
 	l.lastAnswerAt = max(l.lastAnswerAt, receivedAt)
 	l.failedPolls = 0
-	l.unreachable, l.refusedAt = false, 0
+	l.unreachable, l.brokenAt, l.refused = false, 0, false
 	if status.Clock > l.progressReadAt {
 		// An answer that was delayed until a run ended may be newer than that to a later poll.
 		l.progressReadAt = status.Clock
--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"syscall"
 	"time"
@@ -27,10 +28,13 @@
 // maxLoggedRuns limits the runs that one log line names.
 const maxLoggedRuns = 8
 
-// noteRefusal records when the minion was first found to have no listener.
-func (l *minionLife) noteRefusal(err error, now time.Duration) {
-	if l.refusedAt == 0 && errors.Is(err, syscall.ECONNREFUSED) {
-		l.refusedAt = now
+// noteFailure updates brokenAt and refused after an order that got no answer.
+func (l *minionLife) noteFailure(err error, now time.Duration) {
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	l.refused = l.refused || refused
+	broken := refused || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+	if broken && l.brokenAt == 0 {
+		l.brokenAt = now
 	}
 }
 
@@ -47,8 +51,8 @@
 
 // foundAt returns when the life was found to have ended, at the latest now.
 func (l *minionLife) foundAt(now time.Duration) time.Duration {
-	if l.refusedAt > 0 {
-		return l.refusedAt
+	if l.brokenAt > 0 {
+		return l.brokenAt
 	}
 	return now
 }
@@ -112,10 +116,10 @@
 // probableCrashes returns the crashes of the life if the minion has had no listener since soon after it last
 // answered. It may have been cut off instead, and run on.
 func (l *minionLife) probableCrashes() []workload.Crash {
-	if l.refusedAt == 0 {
+	if !l.refused {
 		return nil
 	}
-	return l.implicated(l.lostRuns(Status{}), l.refusedAt)
+	return l.implicated(l.lostRuns(Status{}), l.brokenAt)
 }
 
 // logLoss logs and counts the runs that were lost with the life.
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -222,9 +222,10 @@
 		run.phase, run.startedAt, run.fromBeginning = phaseStarted, r.clock(), order.Resume == ""
 	case errors.Is(err, ErrNotSent):
 		l.unreachable = true
-		l.noteRefusal(err, r.clock())
+		l.noteFailure(err, r.clock())
 		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
 	case !errors.As(err, &refused):
+		l.noteFailure(err, r.clock())
 		r.markUnsettled(run)
 	case refused.Reason == ReasonFenced && order.Token < r.token(), refused.Reason == ReasonLeaseExpired:
 		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
--- a/internal/process/scheduler/crashing_tasks_test.go
+++ b/internal/process/scheduler/crashing_tasks_test.go
@@ -14,10 +14,12 @@
 const maxCrashingStarts = 5
 
 // A task crashes each minion that starts it, before or after the answer to the start, alone or in a
-// gang. It must be given up, or it crashes one minion after the other and stops the tasks of others.
+// gang, or with the minion's whole host. It must be given up, or it crashes one minion after the other and stops the tasks of others.
 func TestTaskThatCrashesMinionsIsGivenUp(t *testing.T) {
 	for _, gang := range []bool{false, true} {
-		for name, mode := range map[string]standin.CrashMode{"answered": standin.CrashAfterAnswer, "unanswered": standin.CrashBeforeAnswer} {
+		for name, mode := range map[string]standin.CrashMode{
+			"answered": standin.CrashAfterAnswer, "unanswered": standin.CrashBeforeAnswer, "silent": standin.CrashSilently,
+		} {
 			t.Run(fmt.Sprintf("%s,gang=%v", name, gang), func(t *testing.T) { testCrashingTask(t, gang, mode) })
 		}
 	}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -84,6 +84,9 @@
 	CrashAfterAnswer
 	// CrashBeforeAnswer means that the minion begins the run and crashes before it answers.
 	CrashBeforeAnswer
+	// CrashSilently is CrashAfterAnswer with the whole host: connections that wait are closed, and
+	// further orders get no answer.
+	CrashSilently
 	// RestartBeforeStart means that the minion restarts just before the start arrives, and begins the run
 	// in its next life.
 	RestartBeforeStart
@@ -163,10 +166,12 @@
 }
 
 // crashAndRestart crashes the minion, which is back after DownTime.
-func (m *TaskMinion) crashAndRestart() {
+func (m *TaskMinion) crashAndRestart(mode CrashMode) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.crash()
+	m.unresponsive = mode == CrashSilently
+	m.unreachable = !m.unresponsive
 	time.AfterFunc(m.DownTime, m.StartLife)
 }
 
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -77,8 +77,8 @@
 // error of the start. The lock must be held.
 func (m *TaskMinion) crashUnder(mode CrashMode) error {
 	switch mode {
-	case CrashAfterAnswer:
-		time.AfterFunc(crashDelay, m.crashAndRestart)
+	case CrashAfterAnswer, CrashSilently:
+		time.AfterFunc(crashDelay, func() { m.crashAndRestart(mode) })
 	case CrashBeforeAnswer:
 		m.crash()
 		time.AfterFunc(m.DownTime, m.StartLife)
@@ -160,15 +160,18 @@
 	return m.fillerPercent()
 }
 
-// Poll implements runner.Minion. A new life breaks the polls that wait.
+// Poll implements runner.Minion. A new life or a crash breaks the polls that wait.
 func (m *TaskMinion) Poll(ctx context.Context, o runner.Poll) (runner.Status, error) {
 	deadline := time.Now().Add(o.Wait)
 	born := m.Born()
-	for {
+	for waiting := false; ; waiting = true {
 		if m.Born() != born {
 			return runner.Status{}, ErrUnresponsive
 		}
 		s, err := m.status(o)
+		if err != nil && waiting {
+			return s, io.EOF
+		}
 		if err != nil || len(s.Ended) > 0 || !time.Now().Before(deadline) {
 			return s, err
 		}
