--- a/internal/process/scheduler/crashing_tasks_test.go
+++ b/internal/process/scheduler/crashing_tasks_test.go
@@ -110,3 +110,23 @@
 		in.await("job", workload.OutcomeCompleted, 30*time.Second)
 	})
 }
+
+// A minion deregisters and ends under a task, four times. It has left as announced and has not crashed, so
+// that the job must not be given up.
+func TestMinionThatLeavesCountsNoCrash(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addPromptWorker()
+		in.submit(spec("job", 1, smallTask()))
+		for n := 1; n <= 4; n++ {
+			for start := time.Now(); in.runLog.Starts() < n; time.Sleep(10 * time.Millisecond) {
+				if time.Since(start) > 10*time.Second {
+					t.Fatalf("got %d starts, want %d", in.runLog.Starts(), n)
+				}
+			}
+			a.runner.Leave(t.Context(), a.minion.ID)
+			time.Sleep(10 * time.Millisecond)
+			a.minion.StartLife()
+		}
+		in.await("job", workload.OutcomeCompleted, 10*time.Second)
+	})
+}
