runner: attribute an early crash to the newest starts only

What callers saw: in the soak, now with tasks that crash their minions, jobs of other tasks were given up: those that had started on the same minions within half a second before, twice. Cause: all runs that had started within 0.5 s counted as early crashes alike, although a task that crashes its minion as it starts is the last one to start there. Orders sent to a minion that was already down counted too if the connection was closed instead of refused. Orders sent after the connection broke count for nothing, and an accepted start shows that the minion goes on. TestEarlierStartCountsLessThanNewest failed before.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -276,7 +276,8 @@
 func (l *minionLife) update(order Poll, status Status, sentAt, receivedAt time.Duration) {
 	l.lastAnswerAt = max(l.lastAnswerAt, receivedAt)
 	l.failedPolls = 0
-	l.unreachable, l.brokenAt, l.refused = false, 0, false
+	l.unreachable = false
+	l.noteAnswer()
 	if status.Clock > l.progressReadAt {
 		// An answer that was delayed until a run ended may be newer than that to a later poll.
 		l.progressReadAt = status.Clock
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -154,7 +154,7 @@
 		return
 	}
 	for _, s := range l.status.Running {
-		l.runs[s.Task] = &runState{number: s.Run, phase: phaseStarted, startedAt: l.statusSentAt, pace: unknownPace}
+		l.runs[s.Task] = &runState{number: s.Run, phase: phaseStarted, startedAt: l.statusSentAt, orderedAt: l.statusSentAt, pace: unknownPace}
 	}
 	for _, e := range l.status.Ended {
 		if a, assigned := v.runs[e.Task]; assigned && a.run == e.Run {
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -37,6 +37,10 @@
 	// poll was sent whose status first listed the run. The status of a poll that was sent
 	// later must list the run as running or ended.
 	startedAt time.Duration
+	// orderedAt is when the newest start was sent or, if an earlier agent sent it, startedAt.
+	orderedAt time.Duration
+	// brokenOff is set if the connection of the newest start was closed before the answer.
+	brokenOff bool
 	// fromBeginning is set if this agent started the run without a checkpoint, so that
 	// its duration is that of the whole task.
 	fromBeginning bool
@@ -205,7 +209,7 @@
 		Permit: a.permit,
 	}
 	sentAt := r.clock()
-	l.startSentAt = sentAt
+	l.startSentAt, run.orderedAt, run.brokenOff = sentAt, sentAt, false
 	r.async(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -220,12 +224,14 @@
 	switch {
 	case err == nil:
 		run.phase, run.startedAt, run.fromBeginning = phaseStarted, r.clock(), order.Resume == ""
+		l.noteAnswer()
 	case errors.Is(err, ErrNotSent):
 		l.unreachable = true
 		l.noteFailure(err, r.clock())
 		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
 	case !errors.As(err, &refused):
 		l.noteFailure(err, r.clock())
+		run.brokenOff = isBrokenOff(err)
 		r.markUnsettled(run)
 	case refused.Reason == ReasonFenced && order.Token < r.token(), refused.Reason == ReasonLeaseExpired:
 		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
--- a/internal/process/scheduler/crashing_tasks_test.go
+++ b/internal/process/scheduler/crashing_tasks_test.go
@@ -130,3 +130,29 @@
 		in.await("job", workload.OutcomeCompleted, 10*time.Second)
 	})
 }
+
+// A task crashes the minion on which another one has started 150 ms before. It is more likely to be at fault
+// than the other one, which must not be given up as soon.
+func TestEarlierStartCountsLessThanNewest(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		in.addPromptWorker()
+		crashing := workload.TaskRef{Job: "crashing"}
+		in.setCrashing(crashing, standin.CrashAfterAnswer)
+		in.submit(spec("job", 1, smallTask()))
+		time.Sleep(150 * time.Millisecond)
+		in.submit(spec("crashing", 1, smallTask()))
+		var earlierScore, newestScore int
+		e := in.entries[0]
+		for start := time.Now(); newestScore == 0 && time.Since(start) < 10*time.Second; time.Sleep(50 * time.Millisecond) {
+			e.journal.View(func(time.Time) {
+				_, _, earlier, _ := e.state.Task(workload.TaskRef{Job: "job"})
+				_, _, newest, _ := e.state.Task(crashing)
+				earlierScore, newestScore = earlier.CrashScore, newest.CrashScore
+			})
+		}
+		if earlierScore >= newestScore {
+			t.Errorf("got crash scores %d and %d, want less for the task that started earlier", earlierScore, newestScore)
+		}
+		in.await("job", workload.OutcomeCompleted, 10*time.Second)
+	})
+}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -19,6 +19,8 @@
 	ID runner.MinionID
 	// Capacity is the room of the minion until the first call of Resize.
 	Capacity workload.Resources
+	// RoomGrace is for how long after a call of Resize the larger of both rooms counts.
+	RoomGrace time.Duration
 	// Need returns what a task reserves, and RunDuration how long a run takes.
 	Need        func(workload.TaskRef) workload.Resources
 	RunDuration func(workload.TaskRef, workload.Run) time.Duration
@@ -55,6 +57,9 @@
 	unreachable bool
 	// delayedStarts is how many of the next calls of Start take effect late.
 	delayedStarts int
+	// formerRoom counts as room too until formerUntil.
+	formerRoom  workload.Resources
+	formerUntil time.Time
 	// token is the highest fencing token seen.
 	token runner.Token
 	// leaseEnd is the time on the minion's clock at which the lease expires; 0 means that
@@ -179,6 +184,10 @@
 func (m *TaskMinion) Resize(room workload.Resources) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if time.Now().After(m.formerUntil) {
+		m.formerRoom = workload.Resources{}
+	}
+	m.formerRoom, m.formerUntil = m.formerRoom.Largest(m.Capacity), time.Now().Add(m.RoomGrace)
 	m.Capacity = room
 }
 
@@ -235,7 +244,7 @@
 func (m *TaskMinion) IsUnresponsive() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.unresponsive
+	return m.callError() != nil
 }
 
 // logEnds records in RunLog that all active runs end without success. The lock must be
--- a/internal/process/workload/crash.go
+++ b/internal/process/workload/crash.go
@@ -11,7 +11,7 @@
 type Crash struct {
 	Task TaskRef
 	Run  Run
-	// Early is true if the worker had confirmed the start of the run shortly before it crashed.
+	// Early is true if the run was among the newest on the worker, which crashed shortly after its start.
 	Early bool `json:",omitempty"`
 	// Ran is for how long the run is known to have been executed; 0 if unknown.
 	Ran time.Duration `json:",omitempty"`
