--- a/internal/process/allocation/implicated_test.go
+++ b/internal/process/allocation/implicated_test.go
@@ -50,3 +50,28 @@
 		}
 	}
 }
+
+// An implicated task must not start together with new tasks while there is room elsewhere. Each of them may
+// crash the worker, and the implicated one would be given up for it.
+func TestImplicatedTaskStartsApartFromNewOnes(t *testing.T) {
+	f := newFixture(t, 4, 8)
+	old := step(3, 4, 20*time.Second)
+	old.Label, old.PerWorker = "rack0", 1
+	f.submit("old", 1, old)
+	f.submit("implicated", 1, step(1, 1, 10*time.Second))
+	f.decide()
+	task := workload.TaskRef{Job: "implicated"}
+	_, _, run, _ := f.state.Task(task)
+	f.mustApply(workload.Record{Announce: &workload.Announce{
+		Life: "next", Machine: f.state.Worker(run.Worker).Machine, Service: "service", Rack: "rack0", Crashes: []workload.Crash{{Task: task, Run: 1}},
+	}})
+	fresh := step(1, 1, time.Second)
+	fresh.Label = "rack1"
+	f.submit("new", 0, fresh)
+	f.decide()
+	_, _, started, _ := f.state.Task(task)
+	_, _, other, _ := f.state.Task(workload.TaskRef{Job: "new"})
+	if started.Worker == "" || started.Worker == other.Worker {
+		t.Errorf("got the implicated task on worker %q and the new one on %q, want two different workers", started.Worker, other.Worker)
+	}
+}
