--- a/internal/process/scheduler/crashing_tasks_test.go
+++ b/internal/process/scheduler/crashing_tasks_test.go
@@ -156,3 +156,24 @@
 		in.await("job", workload.OutcomeCompleted, 10*time.Second)
 	})
 }
+
+// A task is placed on a minion that has crashed, while connections to it are still accepted and closed. The
+// minion has not begun the task, so that its crash must not count against it.
+func TestOrderToCrashedMinionCountsNoCrash(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addPromptWorker()
+		a.minion.CloseConnections()
+		a.minion.Crash()
+		time.Sleep(200 * time.Millisecond)
+		in.submit(spec("job", 1, smallTask()))
+		time.Sleep(800 * time.Millisecond)
+		a.minion.StartLife()
+		in.await("job", workload.OutcomeCompleted, 10*time.Second)
+		e := in.entries[0]
+		e.journal.View(func(time.Time) {
+			if _, _, task, _ := e.state.Task(workload.TaskRef{Job: "job"}); task.CrashScore != 0 || task.Run < 2 {
+				t.Errorf("got crash score %d after %d runs, want 0 after at least 2", task.CrashScore, task.Run)
+			}
+		})
+	})
+}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"syscall"
@@ -53,8 +54,10 @@
 	startedAt time.Time
 	// unresponsive is true while every call fails with ErrUnresponsive.
 	unresponsive bool
-	// unreachable is true while no order reaches the minion.
-	unreachable bool
+	// unreachable is true while no order reaches the minion. closesConnections is true if connections are
+	// then accepted and closed, as by a proxy, instead of refused.
+	unreachable       bool
+	closesConnections bool
 	// delayedStarts is how many of the next calls of Start take effect late.
 	delayedStarts int
 	// formerRoom counts as room too until formerUntil.
@@ -170,6 +173,14 @@
 	m.unreachable = refusing
 }
 
+// CloseConnections makes connections to the minion be accepted and closed, instead of refused, while no
+// order reaches it.
+func (m *TaskMinion) CloseConnections() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closesConnections = true
+}
+
 // crashAndRestart crashes the minion, which is back after DownTime.
 func (m *TaskMinion) crashAndRestart(mode CrashMode) {
 	m.mu.Lock()
@@ -202,6 +213,8 @@
 // otherwise nil. The lock must be held.
 func (m *TaskMinion) callError() error {
 	switch {
+	case m.unreachable && m.closesConnections:
+		return io.EOF
 	case m.unreachable:
 		return fmt.Errorf("%w: %w", runner.ErrNotSent, syscall.ECONNREFUSED)
 	case m.unresponsive:
--- a/internal/process/workload/crash.go
+++ b/internal/process/workload/crash.go
@@ -1,7 +1,7 @@
 package workload
 
 import (
-	"maps"
+	"cmp"
 	"slices"
 	"time"
 )
@@ -33,12 +33,18 @@
 // with the announcement of w, and those of the reports of these lives. An earlier agent may have made them.
 func (s *State) recordCrashes(w *Worker, announced []Crash) {
 	w.Crashes = nil
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		if other := s.workers[id]; other.Machine == w.Machine {
-			announced = append(announced, other.Crashes...)
-			other.Crashes = nil
+	var lives []*Worker
+	for _, other := range s.workers {
+		if other.Machine == w.Machine && len(other.Crashes) > 0 {
+			lives = append(lives, other)
 		}
 	}
+	// The order of the lives must be the same in all replicas.
+	slices.SortFunc(lives, func(a, b *Worker) int { return cmp.Compare(a.Life, b.Life) })
+	for _, other := range lives {
+		announced = append(announced, other.Crashes...)
+		other.Crashes = nil
+	}
 	for _, c := range announced {
 		s.recordCrash(c)
 	}
