allocation, workload: only likely culprits start apart, and quite alone

Change: a task is implicated by one early crash or two others, not by a single late one, since workers crash for other reasons too. For 0.1 s after its placement its worker takes no task of another job, and it goes to no worker where one was placed within that time. Starts within 20 ms of each other, instead of 50, cannot be told apart.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -162,12 +162,8 @@
 	case u.implicated:
 		// The fewer other tasks there are on the worker, the fewer are lost if it crashes.
 		cost = -cost
-		switch {
-		case h.probation == u.job.ID:
+		if h.probation == u.job.ID {
 			cost -= probationCost
-		case len(h.placed) > 0:
-			// If one of several tasks that start together crashes the worker, all seem to be at fault.
-			cost += probationCost
 		}
 	case h.probation != "":
 		cost += probationCost
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -34,6 +34,10 @@
 	idleCores                      millicores
 	// probation is a job of which an implicated task was placed here recently; empty if there is none.
 	probation workload.JobID
+	// starting are jobs of which a run was placed here within settlingTime, isolated the one of them whose
+	// task is implicated; empty if there is none.
+	starting []workload.JobID
+	isolated workload.JobID
 	// placed counts the tasks that this round placed on the host, by step.
 	placed map[workload.StepRef]int
 }
@@ -91,7 +95,7 @@
 			h.maxPriority = max(h.maxPriority, j.Priority)
 		}
 		h.addTasks(step, 1)
-		h.setProbation(p, r)
+		h.noteRun(p, r)
 		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
 			h.afterStops = h.afterStops.Plus(p.reservation(r))
 			p.stopping[r] = true
@@ -126,8 +130,9 @@
 	h.placed[first.StepRef()] += count
 	h.idleCores -= u.total(count).Cores
 	h.addTasks(u.step, count)
-	if u.implicated && h.probation == "" {
-		h.probation = u.job.ID
+	h.starting = append(h.starting, u.job.ID)
+	if u.implicated {
+		h.probation, h.isolated = cmp.Or(h.probation, u.job.ID), u.job.ID
 	}
 	if h.trialOnly {
 		h.free, h.afterStops = workload.Resources{}, workload.Resources{}
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -28,7 +28,7 @@
 	// unit is not placed on them.
 	failedOn       map[workload.LifeID]bool
 	excludesFailed bool
-	// implicated is true if a worker has crashed under a member.
+	// implicated is true if a member is implicated in a crash.
 	implicated bool
 }
 
--- a/internal/process/runner/crash.go
+++ b/internal/process/runner/crash.go
@@ -34,7 +34,7 @@
 	recentTime = 500 * time.Millisecond
 	// batchTime is the longest time between two orders for which it is unknown which of the runs has
 	// crashed the life.
-	batchTime = 50 * time.Millisecond
+	batchTime = 20 * time.Millisecond
 )
 
 // implicated returns the lost runs that may have crashed the life: the recent ones if there are any,
--- a/internal/process/workload/crash.go
+++ b/internal/process/workload/crash.go
@@ -29,6 +29,10 @@
 	provenTime = time.Minute
 )
 
+// Implicated reports whether the task is likely to have caused a crash: a single late crash does not show
+// that, since workers also crash for other reasons.
+func (t Task) Implicated() bool { return t.CrashScore > lateCrashScore }
+
 // recordCrashes counts the crashes of all other lives on the machine of w: those that the agent has passed
 // with the announcement of w, and those of the reports of these lives. An earlier agent may have made them.
 func (s *State) recordCrashes(w *Worker, announced []Crash) {
