--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -83,10 +83,12 @@
 	Ended []workload.End
 }
 
+// listsRunning reports whether the run is listed as running.
 func (s Status) listsRunning(ref workload.TaskRef, n workload.Run) bool {
 	return slices.ContainsFunc(s.Running, func(r RunStatus) bool { return r.Task == ref && r.Run == n })
 }
 
+// listsEnded reports whether the run is listed as ended.
 func (s Status) listsEnded(ref workload.TaskRef, n workload.Run) bool {
 	return slices.ContainsFunc(s.Ended, func(e workload.End) bool { return e.Task == ref && e.Run == n })
 }
