--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -12,7 +12,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/internal/process/journal"
@@ -46,10 +45,6 @@
 	// maxClockSlowdown is the fraction by which a minion's clock may run slow according
 	// to the platform's rules.
 	maxClockSlowdown = 0.02
-	// proposeTimeout is the timeout of one proposal.
-	proposeTimeout = 2 * time.Second
-	// proposeRetryDelay is the pause after a proposal that was not appended to the log.
-	proposeRetryDelay = 150 * time.Millisecond
 	// tokensPerAgent is the number of tokens reserved for each agent process: its base
 	// token and one for each call of fence.
 	tokensPerAgent = 1 << 20
@@ -245,19 +240,3 @@
 		}
 	}
 }
-
-// propose proposes a record outside the loop and calls finish in the loop with the
-// result.
-func (r *Runner) propose(record workload.Record, finish func(error)) {
-	r.async(func(ctx context.Context) func() {
-		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-		defer cancel()
-		err := r.journal.Propose(ctx, record)
-		if errors.Is(err, journal.ErrNotAppended) {
-			// The loop proposes the record again as soon as finish has run. A log that is
-			// down refuses immediately, so that without a pause the loop would be busy.
-			sleep(ctx, proposeRetryDelay)
-		}
-		return func() { finish(err) }
-	})
-}
--- a/internal/process/standin/keyed.go
+++ b/internal/process/standin/keyed.go
@@ -27,6 +27,7 @@
 	sequence int
 	down     bool
 	readOnly bool
+	silent   bool
 }
 
 // KeyIndex holds the newest record of each key, by stream. The zero value is ready to
@@ -50,6 +51,26 @@
 	k.readOnly = readOnly
 }
 
+// SetSilent makes every append that is sent from now on get no answer while silent is true. It is not
+// stored, which its sender cannot know.
+func (k *KeyedLog) SetSilent(silent bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent = silent
+}
+
+// awaitAnswer waits until the context ends if the log is silent.
+func (k *KeyedLog) awaitAnswer(ctx context.Context) error {
+	k.mu.Lock()
+	silent := k.silent
+	k.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return fmt.Errorf("standin: silent log: %w", ctx.Err())
+}
+
 // RefusesAppends reports whether Append fails because the log is down or read-only.
 func (k *KeyedLog) RefusesAppends() bool {
 	k.mu.Lock()
@@ -120,6 +141,9 @@
 	if k.RefusesAppends() {
 		return nil, platform.ErrLogDown
 	}
+	if err := k.awaitAnswer(ctx); err != nil {
+		return nil, err
+	}
 	if err := k.Log.beginCall(ctx); err != nil {
 		return nil, err
 	}
@@ -137,6 +161,9 @@
 
 // append appends a record with the key and updates the index.
 func (k *KeyedLog) append(ctx context.Context, stream platform.Stream, key platform.Key, payload []byte) (platform.Offset, error) {
+	if err := k.awaitAnswer(ctx); err != nil {
+		return 0, err
+	}
 	if err := k.Log.beginCall(ctx); err != nil {
 		return 0, err
 	}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -58,6 +58,9 @@
 	// then accepted and closed, as by a proxy, instead of refused.
 	unreachable       bool
 	closesConnections bool
+	// unhealthy is true while every start is refused; refusedStarts counts these refusals.
+	unhealthy     bool
+	refusedStarts int
 	// delayedStarts is how many of the next calls of Start take effect late.
 	delayedStarts int
 	// formerRoom counts as room too until formerUntil.
@@ -173,6 +176,20 @@
 	m.unreachable = refusing
 }
 
+// SetUnhealthy sets whether the minion refuses every start, with ReasonUnhealthy.
+func (m *TaskMinion) SetUnhealthy(unhealthy bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unhealthy = unhealthy
+}
+
+// RefusedStarts returns how many starts were refused because the minion was unhealthy.
+func (m *TaskMinion) RefusedStarts() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.refusedStarts
+}
+
 // CloseConnections makes connections to the minion be accepted and closed, instead of refused, while no
 // order reaches it.
 func (m *TaskMinion) CloseConnections() {
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -42,6 +42,10 @@
 		m.startLife()
 	}
 	m.advance()
+	if m.unhealthy {
+		m.refusedStarts++
+		return &runner.RefusedError{Reason: runner.ReasonUnhealthy}
+	}
 	switch {
 	case o.ID != m.ID:
 		return &runner.RefusedError{Reason: runner.ReasonOtherLife}
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"reflect"
 	"time"
 
 	"corianderpass/internal/process/incarnation"
@@ -33,6 +34,17 @@
 	Evacuate *Evacuate `json:",omitempty"`
 }
 
+// Kind returns the name of the field that is set, empty if none is.
+func (r Record) Kind() string {
+	v := reflect.ValueOf(r)
+	for i := range v.NumField() {
+		if !v.Field(i).IsNil() {
+			return v.Type().Field(i).Name
+		}
+	}
+	return ""
+}
+
 // Urgency implements journal.Ranked.
 func (r Record) Urgency() platform.Urgency {
 	switch {
