workload: late refusals and departures of a former agent have no effect

Cause: the same class as the refusal of unknown fate. An agent that ends, killed or after SIGTERM, may leave a record that the log carries out seconds later. Its successor knows nothing of that record and starts the run; the record then released the run, and the task was placed again.

Evidence: the new test in virtual time, with an append that takes effect five seconds late. Without the check: minion broke a rule after 9.031s: task job.0.0.0 has two active runs after the start of run 2 got 2 starts of the task, want 1

Change: both records name the agent that the worker has in the writer's copy of the state. If another one has been announced before the record is folded, the record is rejected.

--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -66,12 +66,12 @@
 		r.life = nil
 		return
 	}
-	r.depart(l, "minion deregistered")
+	r.depart(l, v, "minion deregistered")
 }
 
-func (r *Runner) depart(l *minionLife, cause string) {
+func (r *Runner) depart(l *minionLife, v view, cause string) {
 	l.departPending = true
-	r.propose(workload.Record{Depart: &workload.Depart{Life: l.id, Saved: l.listedCheckpoints()}}, func(err error) {
+	r.propose(workload.Record{Depart: &workload.Depart{Life: l.id, Agent: v.agent, Saved: l.listedCheckpoints()}}, func(err error) {
 		l.departPending = false
 		r.logger.Info("worker departs", "worker", l.id, "cause", cause, "runs", len(l.runs), "error", err)
 	})
@@ -235,7 +235,7 @@
 		return false
 	}
 	if !l.departPending && len(v.runs) > 0 {
-		r.depart(l, "leases of an unresponsive minion lapsed")
+		r.depart(l, v, "leases of an unresponsive minion lapsed")
 	}
 	return true
 }
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -257,7 +257,7 @@
 // refuse proposes a record that the run has not started and never will.
 func (r *Runner) refuse(l *minionLife, ref workload.TaskRef, run *runState, reason string) {
 	run.phase = phaseRefused
-	r.propose(workload.Record{Refuse: &workload.Refuse{Life: l.id, Task: ref, Run: run.number, Reason: reason}}, func(err error) {
+	r.propose(workload.Record{Refuse: &workload.Refuse{Life: l.id, Agent: r.self, Task: ref, Run: run.number, Reason: reason}}, func(err error) {
 		r.logger.Info("refuse", "worker", l.id, "task", ref.String(), "run", run.number, "reason", reason, "error", err)
 		if err != nil {
 			run.phase = phaseNew
--- a/internal/process/scheduler/undecided_records_test.go
+++ b/internal/process/scheduler/undecided_records_test.go
@@ -50,3 +50,26 @@
 		in.await("job", workload.OutcomeCompleted, 40*time.Second)
 	})
 }
+
+// An agent ends while the log still has to carry out its record of a refusal, and the next agent starts the run.
+// The record must have no effect then: the task would be placed again beside its run.
+func TestLateRefusalOfFormerAgentHasNoEffect(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addPromptWorker()
+		in.setDuration(12 * time.Second)
+		a.minion.SetUnhealthy(true)
+		in.submit(spec("job", 1, smallTask()))
+		for a.minion.RefusedStarts() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		a.log.SetLate(5 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		a.stop()
+		a.minion.SetUnhealthy(false)
+		a.start()
+		in.await("job", workload.OutcomeCompleted, 20*time.Second)
+		if starts, _ := in.runLog.Counts(workload.TaskRef{Job: "job"}); starts != 1 {
+			t.Errorf("got %d starts of the task, want 1", starts)
+		}
+	})
+}
--- a/internal/process/standin/keyed.go
+++ b/internal/process/standin/keyed.go
@@ -28,6 +28,8 @@
 	down     bool
 	readOnly bool
 	silent   bool
+	// lateness is how long appends take effect late; 0 if they do not.
+	lateness time.Duration
 }
 
 // KeyIndex holds the newest record of each key, by stream. The zero value is ready to
@@ -59,6 +61,24 @@
 	k.silent = silent
 }
 
+// SetLate makes every append that is sent from now on take effect late by d, without an answer.
+func (k *KeyedLog) SetLate(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lateness = d
+}
+
+// storeLate stores the record later if appends take effect late, which it reports.
+func (k *KeyedLog) storeLate(stream platform.Stream, key platform.Key, payload []byte) bool {
+	k.mu.Lock()
+	lateness := k.lateness
+	k.mu.Unlock()
+	if lateness > 0 {
+		time.AfterFunc(lateness, func() { _, _ = k.store(stream, key, payload) })
+	}
+	return lateness > 0
+}
+
 // awaitAnswer waits until the context ends if the log is silent.
 func (k *KeyedLog) awaitAnswer(ctx context.Context) error {
 	k.mu.Lock()
@@ -164,6 +184,10 @@
 	if err := k.awaitAnswer(ctx); err != nil {
 		return 0, err
 	}
+	if k.storeLate(stream, key, payload) {
+		<-ctx.Done()
+		return 0, fmt.Errorf("standin: late append: %w", ctx.Err())
+	}
 	if err := k.Log.beginCall(ctx); err != nil {
 		return 0, err
 	}
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -151,6 +151,9 @@
 // Depart ends a worker's life. The writer must make sure that all its runs have ended.
 type Depart struct {
 	Life LifeID
+	// Agent is the worker's agent in the writer's copy of the state. The record is rejected if another
+	// agent has been announced since, which may have started runs. Records of older builds lack it.
+	Agent incarnation.ID `json:",omitempty"`
 	// Saved holds the last checkpoints of its runs.
 	Saved []SavedCheckpoint `json:",omitempty"`
 }
@@ -236,7 +239,9 @@
 
 // Refuse reports that a placed run has not started and never will.
 type Refuse struct {
-	Life   LifeID
+	Life LifeID
+	// Agent is as in Depart.
+	Agent  incarnation.ID `json:",omitempty"`
 	Task   TaskRef
 	Run    Run
 	Reason string
--- a/internal/process/workload/runs.go
+++ b/internal/process/workload/runs.go
@@ -322,6 +322,9 @@
 	if t.Worker != r.Life || t.Run != r.Run {
 		return fmt.Errorf("%w: task %s, run %d", ErrNotCurrentRun, r.Task, r.Run)
 	}
+	if err := w.checkAgent(r.Agent); err != nil {
+		return err
+	}
 	s.release(w, j, r.Task, t)
 	if j.Steps[r.Task.Step].Gang && t.Phase != PhaseDone {
 		markStopping(step.Tasks)
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -28,6 +28,9 @@
 	// ErrUnknownWorker is returned if the life was never announced, or is gone or
 	// forgotten.
 	ErrUnknownWorker = errors.New("workload: unknown worker")
+	// ErrFormerAgent is returned if another agent has been announced for the worker since the
+	// record was proposed.
+	ErrFormerAgent = errors.New("workload: not the agent of the worker")
 	// ErrJobEnded is returned if the job has an outcome.
 	ErrJobEnded = errors.New("workload: job has ended")
 	// ErrPlacement is returned if the tasks may not start now or not on these workers.
--- a/internal/process/workload/worker.go
+++ b/internal/process/workload/worker.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -71,6 +72,14 @@
 	return !w.Gone && !w.Draining && !w.Suspected && !w.Unresponsive
 }
 
+// checkAgent returns nil if the agent is that of the worker, or unknown.
+func (w *Worker) checkAgent(agent incarnation.ID) error {
+	if agent != "" && agent != w.Agent {
+		return fmt.Errorf("%w: agent %s, agent of worker %s is %s", ErrFormerAgent, agent, w.Life, w.Agent)
+	}
+	return nil
+}
+
 // Free returns the resources that no run reserves. After the room has shrunk, an amount may be negative.
 func (w *Worker) Free() Resources { return w.Room.Minus(w.Used) }
 
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -76,6 +76,9 @@
 	if w.Gone {
 		return fmt.Errorf("%w: worker %s is gone", ErrNoChange, r.Life)
 	}
+	if err := w.checkAgent(r.Agent); err != nil {
+		return err
+	}
 	s.saveCheckpoints(w, r.Saved)
 	s.endLife(w)
 	return nil
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// Records that a former agent has left in the log must not release the runs of its successor: they would
+// run twice. A successor that is not announced yet names its predecessor.
+func TestRecordsOfFormerAgentReleaseNoRuns(t *testing.T) {
+	f := newFixture(t)
+	announce := func(agent incarnation.ID) {
+		f.mustApply(workload.Record{Announce: &workload.Announce{
+			Life: "w0", Machine: "mw0", Agent: agent, Service: "s", Room: workload.Resources{Cores: 8000, Memory: 80, Accelerators: 8},
+		}})
+	}
+	announce("former")
+	f.submit("j", 1, oneAcceleratorStep(1))
+	f.wantError(f.place(ref("j", 0), 1, "w0"), nil, "place")
+	announce("successor")
+	refuse := workload.Refuse{Life: "w0", Agent: "former", Task: ref("j", 0), Run: 1}
+	f.wantError(f.apply("former", workload.Record{Refuse: &refuse}), workload.ErrFormerAgent, "late refusal")
+	f.wantError(f.apply("former", workload.Record{Depart: &workload.Depart{Life: "w0", Agent: "former"}}), workload.ErrFormerAgent, "late departure")
+	f.wantError(f.apply("third", workload.Record{Depart: &workload.Depart{Life: "w0", Agent: "successor"}}), nil, "departure by an agent that is not announced")
+}
+
 // A job fails once one of its tasks has used up its attempts. Starting the remaining tasks
 // of the failed job would waste resources.
 func TestFailedJobStartsNoMoreTasks(t *testing.T) {
