--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -374,6 +374,7 @@
 	}
 	j.started = true
 	j.pending = nil
+	j.failCovered()
 	j.notifyChanged()
 	return true, nil
 }
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -321,6 +321,43 @@
 	})
 }
 
+// A proposal is in the state that a peer provides, before its own replica has read it back. Its caller must
+// learn that at once instead of waiting for a result that never comes.
+func TestSeedAnswersProposalsThatItCovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &standin.Log{}
+		a := start(t, log, "a", journal.Options{})
+		defer a.stop()
+		b := start(t, log, "b", journal.Options{ReadPause: func() time.Duration { return time.Hour }})
+		defer b.stop()
+		if err := a.propose(t, "word", time.Second); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		log.SetFaults(standin.LogFaults{LoseAnswers: 1})
+		pending, err := b.Enqueue("word")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		offset, data, err := a.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := b.Seed(offset, data); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case err := <-pending.Done():
+			if !errors.Is(err, journal.ErrFateUnknown) || b.count("word") != 2 {
+				t.Errorf("got error %v and count %d, want ErrFateUnknown and 2", err, b.count("word"))
+			}
+		case <-time.After(time.Second):
+			t.Error("got no result of the proposal within a second of Seed, want one")
+		}
+	})
+}
+
 // A process was suspended until the log had trimmed records that it had not read. It
 // must restore a snapshot instead of folding the remaining records onto its old state.
 func TestReplicaBehindTrimmedLogRestoresSnapshot(t *testing.T) {
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -255,6 +255,7 @@
 		return
 	}
 	j.started = true
+	j.failCovered()
 	for _, r := range j.pending {
 		if e, err := decode[R](r.Payload); err == nil {
 			j.foldEnvelope(r.Offset, e)
