runner, workload: a list of 500 ends is not taken for all ends of a minion

Cause: a minion lists 500 ends in one answer. The agent took every run that was neither in that list nor running for one that the minion does not have, and recorded that it had not started.

Evidence: the new tests have a minion that lists 3 of 20 ends.

Change: only a status that lists all ends shows that a run is missing or that a start had no effect. An agent that meets a long list before it has announced its worker records the ends first; a life that the workload does not know yet is announced in part for that, which ends no other life. A run that was no longer running in the last status of a life is not blamed for its crash. The stand-ins of a minion list a limited number of ends, too.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -179,7 +179,7 @@
 	if v.hasFillersBesideLatencySensitive() {
 		order.Wait = min(order.Wait, sharedPollWait)
 	}
-	if l.hasUnrecordedEnds(v) || l.leaving {
+	if l.hasUnrecordedEnds(v) || l.status.MoreEnds || l.leaving {
 		order.Wait = 0
 	}
 	return order
--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -56,11 +56,12 @@
 
 // lostRuns returns the tasks whose runs the life had begun, or may have, and has not reported as ended,
 // in the order of TaskRef.Compare. The next life, whose first status is given, lists a run that it has
-// begun itself: its start arrived after the end of this life.
+// begun itself: its start arrived after the end of this life. If that status may lack ends, the result is
+// empty, since it is unknown which runs the next life has begun.
 func (l *minionLife) lostRuns(next Status) []workload.TaskRef {
 	var lost []workload.TaskRef
 	for ref, run := range l.runs {
-		if run.mayHoldRoom() && !next.listsRunning(ref, run.number) && !next.listsEnded(ref, run.number) && !l.listsEnded(ref, run.number) {
+		if run.mayHoldRoom() && next.lacks(ref, run.number) && !l.hasEnded(ref, run) {
 			lost = append(lost, ref)
 		}
 	}
@@ -68,6 +69,15 @@
 	return lost
 }
 
+// hasEnded reports whether the newest status shows that the run had ended by then. It need not list the
+// end: a run that was started before and is no longer running has ended.
+func (l *minionLife) hasEnded(ref workload.TaskRef, run *runState) bool {
+	if l.status.listsEnded(ref, run.number) {
+		return true
+	}
+	return l.status.MoreEnds && run.phase == phaseStarted && l.statusSentAt > run.startedAt && !l.status.listsRunning(ref, run.number)
+}
+
 // logLoss logs and counts the runs that were lost with the life.
 func (r *Runner) logLoss(l *minionLife, lost []workload.TaskRef) {
 	cause := l.lossCause(r.clock())
--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -79,8 +79,11 @@
 	// Born distinguishes the lives of one ID; a later life has a greater value.
 	Born    int64
 	Running []RunStatus
-	// Ended are the ends with a number above Poll.SeenEnds.
+	// Ended are the ends with a number above Poll.SeenEnds, in ascending order of their numbers.
 	Ended []workload.End
+	// MoreEnds is set if there may be further ends, with higher numbers than those in Ended. A run that is
+	// in neither list may have ended then.
+	MoreEnds bool
 }
 
 // listsRunning reports whether the run is listed as running.
@@ -93,6 +96,11 @@
 	return slices.ContainsFunc(s.Ended, func(e workload.End) bool { return e.Task == ref && e.Run == n })
 }
 
+// lacks reports whether the minion certainly has no run of that number, neither running nor ended.
+func (s Status) lacks(ref workload.TaskRef, n workload.Run) bool {
+	return !s.MoreEnds && !s.listsRunning(ref, n) && !s.listsEnded(ref, n)
+}
+
 // RunStatus is the state of a run that a minion lists as running.
 type RunStatus struct {
 	Task       workload.TaskRef
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -105,8 +105,9 @@
 	}
 }
 
-// announceWorker proposes the announcement of the life, once the minion lists no stray
-// runs.
+// announceWorker proposes the announcement of the life, once the minion lists no stray runs. If it may have
+// more ends than it lists, they are recorded first: those of a life that the workload does not know yet after a
+// partial announcement.
 func (r *Runner) announceWorker(l *minionLife, v view) {
 	l.announced = false
 	if l.announcePending || r.hasStrays(l, v) {
@@ -120,20 +121,26 @@
 		r.pollNow(l)
 		return
 	}
+	if l.status.MoreEnds && v.known {
+		// The minion lists the next ends once the first ones are recorded. The runs can be rebuilt from
+		// a status that lists all that are left.
+		r.recordEnds(l, v)
+		return
+	}
 	r.resetRuns(l, v)
 	l.announcePending = true
 	a := l.announcement
-	ends := len(l.status.Ended)
+	ends, partial := len(l.status.Ended), l.status.MoreEnds
 	r.propose(workload.Record{Announce: &workload.Announce{
 		Life: l.id, Machine: a.Machine, Agent: r.self, Address: r.settings.Address, Service: a.Service, FailureDomain: r.settings.FailureDomain,
-		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended, Crashes: l.crashes,
+		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended, Partial: partial, Crashes: l.crashes,
 	}}, func(err error) {
 		l.announcePending = false
-		l.announced = err == nil
+		l.announced = err == nil && !partial
 		if l.announced {
 			l.crashes = nil
 		}
-		r.logger.Info("announce worker", "worker", l.id, "machine", a.Machine, "rack", a.Rack, "ends", ends, "error", err)
+		r.logger.Info("announce worker", "worker", l.id, "machine", a.Machine, "rack", a.Rack, "ends", ends, "partial", partial, "error", err)
 	})
 }
 
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -102,7 +102,7 @@
 		run.stopSentAt = r.clock()
 		r.logger.Info("stop", "worker", l.id, "task", ref.String(), "run", run.number)
 		r.stop(l, ref, run.number)
-	case run.phase == phaseStarted && r.isMissing(l, ref, run):
+	case run.phase == phaseStarted && l.isMissing(ref, run):
 		r.refuse(l, ref, run, "minion does not list it")
 	}
 }
@@ -131,23 +131,14 @@
 	return r.settings.EvacuationTime == 0 || r.clock()-v.freshUntil < r.settings.EvacuationTime/2
 }
 
-// isMissing reports whether the minion lists a started run neither as running nor as
-// ended.
-func (r *Runner) isMissing(l *minionLife, ref workload.TaskRef, run *runState) bool {
-	return l.statusSentAt > run.startedAt && !l.listsRunning(ref, run.number) && !l.listsEnded(ref, run.number)
-}
-
-func (l *minionLife) listsRunning(ref workload.TaskRef, n workload.Run) bool {
-	return l.status.listsRunning(ref, n)
-}
-
-func (l *minionLife) listsEnded(ref workload.TaskRef, n workload.Run) bool {
-	return l.status.listsEnded(ref, n)
+// isMissing reports whether the minion has lost a started run.
+func (l *minionLife) isMissing(ref workload.TaskRef, run *runState) bool {
+	return l.statusSentAt > run.startedAt && l.status.lacks(ref, run.number)
 }
 
 // settle determines from the minion's status whether an unsettled start took effect. The
 // minion refuses the start if it arrives after a poll with settleToken or a higher token, so
-// the answer to such a poll is conclusive.
+// the answer to such a poll is conclusive if it lists all ends.
 func (r *Runner) settle(l *minionLife, run *runState, ref workload.TaskRef) {
 	if run.phase != phaseUnsettled {
 		return
@@ -157,10 +148,13 @@
 		return
 	}
 	switch {
-	case l.listsRunning(ref, run.number):
+	case l.status.listsRunning(ref, run.number):
 		run.phase, run.startedAt = phaseStarted, l.statusSentAt
-	case l.listsEnded(ref, run.number):
+	case l.status.listsEnded(ref, run.number):
 		run.phase = phaseEnded
+	case l.status.MoreEnds:
+		// The run may have ended. The polls that follow list the other ends.
+		return
 	case run.outdated:
 		r.refuse(l, ref, run, string(ReasonOutdated))
 	default:
--- /dev/null
+++ b/internal/process/scheduler/listed_ends_test.go
@@ -0,0 +1,108 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"corianderpass/internal/process/workload"
+)
+
+// listedEnds is how many ends a minion lists in these tests, manyTasks how many tasks end there at once.
+const listedEnds, manyTasks = 3, 20
+
+// manyEnds returns an installation's only worker, whose minion lists few ends, and a job for it.
+func manyEnds(in *installation) (*testAgent, workload.JobSpec) {
+	a := in.addPromptWorker()
+	a.minion.MaxListedEnds = listedEnds
+	return a, spec("job", manyTasks, workload.Resources{Cores: 100, Memory: 1})
+}
+
+// wantStartsOfAll checks that each task of the job was started once.
+func (in *installation) wantStartsOfAll(s workload.JobSpec) {
+	in.t.Helper()
+	for i := range s.Steps[0].Tasks {
+		if starts, _ := in.runLog.Counts(workload.TaskRef{Job: s.ID, Index: i}); starts != 1 {
+			in.t.Errorf("task %d: got %d starts, want 1", i, starts)
+		}
+	}
+}
+
+// More tasks end at once than a minion lists in one answer. The agent must not take the others for lost:
+// they would run again.
+func TestRunsWithUnlistedEndsAreNotRepeated(t *testing.T) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
+		_, s := manyEnds(in)
+		in.submit(s)
+		in.await("job", workload.OutcomeCompleted, 20*time.Second)
+		in.wantStartsOfAll(s)
+	})
+}
+
+// As above, with starts whose answers are lost. The agent must not take these starts for ones that had no
+// effect.
+func TestUnansweredStartsWithUnlistedEndsAreNotRepeated(t *testing.T) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
+		a, s := manyEnds(in)
+		in.setDuration(100 * time.Millisecond)
+		a.minion.LoseStartAnswers(manyTasks)
+		in.submit(s)
+		in.await("job", workload.OutcomeCompleted, 20*time.Second)
+		in.wantStartsOfAll(s)
+	})
+}
+
+// Tasks end while no agent is there. The next agent must not start again those whose ends its minion does not
+// list at first.
+func TestNextAgentDoesNotRepeatRunsWithUnlistedEnds(t *testing.T) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
+		a, s := manyEnds(in)
+		in.submit(s)
+		in.awaitStarts(manyTasks)
+		a.stop()
+		time.Sleep(3 * time.Second)
+		a.start()
+		in.await("job", workload.OutcomeCompleted, 20*time.Second)
+		in.wantStartsOfAll(s)
+	})
+}
+
+// A minion restarts, and its next life carries out starts that were meant for the earlier one. The tasks must
+// not be placed again before all their ends are recorded, which takes several answers.
+func TestUnlistedEndsOfNextLifeAreRecordedFirst(t *testing.T) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
+		const orderDelay, restartLead = 3 * time.Second, 10 * time.Millisecond
+		a, s := manyEnds(in)
+		in.setDuration(time.Millisecond)
+		a.minion.DelayStarts(manyTasks)
+		in.submit(s)
+		for a.minion.DelayedStarts() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		a.minion.SetUnresponsive(true, false)
+		time.Sleep(orderDelay - restartLead)
+		a.minion.StartLife()
+		a.minion.SetUnresponsive(true, false)
+		time.Sleep(2 * restartLead)
+		a.minion.SetUnresponsive(false, false)
+		in.await("job", workload.OutcomeCompleted, 20*time.Second)
+		in.wantStartsOfAll(s)
+	})
+}
+
+// A minion crashes again and again after it has ended more tasks than it has listed. The tasks whose ends it
+// could not list must not be blamed: the minion was not executing them, and their job would be given up.
+func TestCrashBlamesNoTaskWithUnlistedEnd(t *testing.T) {
+	withInstallation(t, func(_ *testing.T, in *installation) {
+		a, s := manyEnds(in)
+		in.submit(s)
+		for starts := manyTasks; starts <= 5*manyTasks; starts = in.runLog.Starts() + 1 {
+			in.awaitStarts(starts)
+			time.Sleep(1900 * time.Millisecond)
+			a.log.SetReadOnly(true)
+			time.Sleep(400 * time.Millisecond)
+			a.minion.StartLife()
+			a.log.SetReadOnly(false)
+		}
+		in.await("job", workload.OutcomeCompleted, 20*time.Second)
+	})
+}
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -42,6 +42,8 @@
 	// MaxLease is the longest lease that the minion accepts; it shortens longer ones. 0 means that
 	// there is no limit.
 	MaxLease time.Duration
+	// MaxListedEnds is how many ends one answer to a poll lists at most; 0 means that there is no limit.
+	MaxListedEnds int
 	// StopTime is the time from an order to stop until the run ends.
 	StopTime time.Duration
 	// OnViolation is called with a description of each broken invariant.
@@ -63,6 +65,8 @@
 	refusedStarts int
 	// delayedStarts is how many of the next calls of Start take effect late.
 	delayedStarts int
+	// lostStartAnswers is how many of the next starts are carried out without an answer.
+	lostStartAnswers int
 	// formerRoom counts as room too until formerUntil.
 	formerRoom  workload.Resources
 	formerUntil time.Time
@@ -248,6 +252,13 @@
 	m.delayedStarts = n
 }
 
+// LoseStartAnswers makes the next n starts be carried out without an answer.
+func (m *TaskMinion) LoseStartAnswers(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lostStartAnswers = n
+}
+
 // DelayedStarts returns how many of the next starts will take effect late.
 func (m *TaskMinion) DelayedStarts() int {
 	m.mu.Lock()
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -25,6 +25,13 @@
 		<-ctx.Done()
 		return ErrUnresponsive
 	}
+	if m.lostStartAnswers > 0 && m.callError() == nil {
+		m.lostStartAnswers--
+		_ = m.start(o)
+		m.mu.Unlock()
+		<-ctx.Done()
+		return ErrUnresponsive
+	}
 	defer m.mu.Unlock()
 	if err := m.callError(); err != nil {
 		return err
@@ -216,6 +223,9 @@
 		s.Running = append(s.Running, status)
 	}
 	s.Ended = slices.Clone(m.ended)
+	if n := m.MaxListedEnds; n > 0 && len(s.Ended) >= n {
+		s.Ended, s.MoreEnds = s.Ended[:n], true
+	}
 	return s, nil
 }
 
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -102,10 +102,13 @@
 	Labels        []string        `json:",omitempty"`
 	// Room is the worker's total resources.
 	Room Resources
-	// Ends are all ends that the life lists. They are recorded before the other lives on
+	// Ends are all ends that the life lists. They must be recorded before the other lives on
 	// the machine end, since a minion may carry out an order of its earlier life in the new
 	// one: what has ended there must not be placed again.
 	Ends []End `json:",omitempty"`
+	// Partial is true if the life has more ends. The record then only makes the life known, as one that
+	// is gone, so that its other ends can be recorded before a further announcement.
+	Partial bool `json:",omitempty"`
 	// Crashes are the crashes of earlier lives on the machine, as far as the agent has observed them.
 	Crashes []Crash `json:",omitempty"`
 }
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -20,10 +20,13 @@
 func (s *State) announce(r Announce) error {
 	w := s.workers[r.Life]
 	if w == nil {
-		w = &Worker{Life: r.Life, Machine: r.Machine}
+		w = &Worker{Life: r.Life, Machine: r.Machine, Gone: true}
 		s.workers[r.Life] = w
 	}
 	s.recordEnds(w, r.Ends)
+	if r.Partial {
+		return nil
+	}
 	for _, other := range s.workers {
 		if other.Machine == r.Machine && other.Life != r.Life && !other.Gone {
 			s.endLife(other)
