runner: a reported minion that cannot be reached does not stop the polls of the agent's own one

What callers saw: a task on the minion lapsed, was started again and again, and its job never ended (LOST).

Cause: a report of another life makes it a candidate, and while there is one the agent polls nothing else. A candidate is dropped when the minion answers that the order is for another one. For an ID that cannot be sent as a header every poll fails, so that the leases of all runs expired and no end was ever noticed.

Change: after a poll of the candidate without an answer, the next one goes to the current life. A new candidate is logged with its ID, born and sequence.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -104,6 +104,9 @@
 	if l != nil && l.minion == a.ID && a.Born < l.born {
 		return
 	}
+	if r.candidate == nil || r.candidate.ID != a.ID {
+		r.logger.Info("report of another life", "minion", a.ID, "born", a.Born, "sequence", a.Sequence)
+	}
 	r.candidate = &a
 }
 
@@ -150,9 +153,10 @@
 	if r.baseToken == 0 {
 		return Poll{}, false
 	}
-	if c := r.candidate; c != nil {
+	if c := r.candidate; c != nil && (r.life == nil || !r.candidateFailed) {
 		return Poll{ID: c.ID, Token: r.token()}, true
 	}
+	r.candidateFailed = false
 	if r.life == nil {
 		return Poll{}, false
 	}
@@ -226,6 +230,7 @@
 			l.unreachable = l.unreachable || errors.Is(err, ErrNotSent)
 			l.noteFailure(err, receivedAt)
 		}
+		r.candidateFailed = r.candidate != nil && r.candidate.ID == order.ID
 		r.logger.Debug("minion poll failed", "minion", order.ID, "error", err)
 		return
 	}
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -93,6 +93,9 @@
 	generation Token
 	// candidate is the announcement of a life that no poll has confirmed yet.
 	candidate *Announcement
+	// candidateFailed is set if the newest poll of the candidate got no answer. The next poll is then one
+	// of the current life, if there is one: nothing may ever answer for the candidate.
+	candidateFailed bool
 	// life is the current life; nil while there is none.
 	life *minionLife
 	// pendingCalls counts the calls of async whose result function has not run yet.
--- a/internal/process/scheduler/lives_test.go
+++ b/internal/process/scheduler/lives_test.go
@@ -143,6 +143,23 @@
 	})
 }
 
+// Another writer reports a minion to which no order can be sent. The agent must go on polling its own one:
+// otherwise the leases of its runs expire, and the agent never learns of their ends.
+func TestReportOfUnreachableMinionDoesNotStopPolls(t *testing.T) {
+	withInstallation(t, func(t *testing.T, in *installation) {
+		a := in.addPromptWorker()
+		a.minion.IgnoresOthers = true
+		in.setDuration(2 * testMaxLease)
+		in.submit(spec("job", 1, smallTask()))
+		in.awaitStarts(1)
+		a.runner.Announce(t.Context(), runner.Announcement{ID: "other", Machine: "other", Service: "service", Room: workerCapacity()})
+		in.await("job", workload.OutcomeCompleted, 3*testMaxLease)
+		if starts := in.runLog.Starts(); starts != 1 {
+			t.Errorf("got %d starts of the task, want 1", starts)
+		}
+	})
+}
+
 // isPresent reports whether the first entry knows the life and it is not gone.
 func (in *installation) isPresent(life workload.LifeID) (present bool) {
 	e := in.entries[0]
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -44,6 +44,8 @@
 	MaxLease time.Duration
 	// MaxListedEnds is how many ends one answer to a poll lists at most; 0 means that there is no limit.
 	MaxListedEnds int
+	// IgnoresOthers is true if orders for another minion get no answer instead of a refusal.
+	IgnoresOthers bool
 	// StopTime is the time from an order to stop until the run ends.
 	StopTime time.Duration
 	// OnViolation is called with a description of each broken invariant.
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -204,6 +204,9 @@
 		return runner.Status{}, err
 	}
 	m.advance()
+	if o.ID != m.ID && m.IgnoresOthers {
+		return runner.Status{}, ErrUnresponsive
+	}
 	if o.ID != m.ID {
 		return runner.Status{}, &runner.RefusedError{Reason: runner.ReasonOtherLife}
 	}
