platform: status reports with values that no minion sends are refused whole

What callers would see: tasks on a minion whose room is not its own (LIMIT), or a minion that drains unnoticed (LOST).

Cause: a report was checked for missing fields and negative rooms only. One that bears the ID of the agent's minion with a port out of range was taken for that minion's; sequence made all its later reports look outdated, so that draining went unnoticed; mem_mb 1e300 became a room whose value depends on the processor.

Deeply nested values and numbers beyond the type of their field were refused before, too.

--- a/internal/process/workload/job.go
+++ b/internal/process/workload/job.go
@@ -60,6 +60,11 @@
 	return Resources{max(r.Cores, o.Cores), max(r.Memory, o.Memory), max(r.Accelerators, o.Accelerators)}
 }
 
+// IsValidRoom reports whether no amount is negative or larger than the largest that a task may require.
+func (r Resources) IsValidRoom() bool {
+	return r.Cores >= 0 && r.Accelerators >= 0 && r.FitsIn(maxNeed)
+}
+
 // FitsIn reports whether no amount of r exceeds that of o.
 func (r Resources) FitsIn(o Resources) bool {
 	return r.Cores <= o.Cores && r.Memory <= o.Memory && r.Accelerators <= o.Accelerators
