--- a/internal/process/journal/compress.go
+++ b/internal/process/journal/compress.go
@@ -12,9 +12,11 @@
 const (
 	// compressThreshold is the size in bytes above which a payload is compressed.
 	compressThreshold = 2048
-	// maxUnpackedSize is the largest size in bytes that a payload may have when it is
-	// decompressed. It keeps a corrupt payload from taking all memory.
+	// maxUnpackedSize is the largest size in bytes that a snapshot may have when it is decompressed, and
+	// maxEnvelopeSize that of an envelope, which comes in one record. They keep a corrupt payload from taking all
+	// memory.
 	maxUnpackedSize = 64 << 20
+	maxEnvelopeSize = 16 << 20
 )
 
 // gzipMagic is the prefix of every compressed payload. No JSON text begins with it.
@@ -37,8 +39,8 @@
 	return packed.Bytes(), nil
 }
 
-// unpack reverses pack. It returns an error for a payload of more than maxUnpackedSize bytes.
-func unpack(payload []byte) ([]byte, error) {
+// unpack reverses pack. It returns an error for a compressed payload of more than limit bytes.
+func unpack(payload []byte, limit int64) ([]byte, error) {
 	if !bytes.HasPrefix(payload, gzipMagic) {
 		return payload, nil
 	}
@@ -46,12 +48,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("journal: unpack: %w", err)
 	}
-	data, err := io.ReadAll(io.LimitReader(r, maxUnpackedSize+1))
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, fmt.Errorf("journal: unpack: %w", err)
 	}
-	if len(data) > maxUnpackedSize {
-		return nil, errors.Errorf("journal: unpack: payload has more than %d bytes", maxUnpackedSize)
+	if int64(len(data)) > limit {
+		return nil, errors.Errorf("journal: unpack: payload has more than %d bytes", limit)
 	}
 	return data, nil
 }
--- a/internal/process/journal/envelope.go
+++ b/internal/process/journal/envelope.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"corianderpass/internal/process/incarnation"
 	"corianderpass/pkg/platform"
 )
@@ -38,17 +40,27 @@
 	Data []byte
 }
 
+// errNotEncoded is wrapped by all errors of encode. Such an envelope cannot be appended.
+var errNotEncoded = errors.New("journal: envelope cannot be encoded")
+
 func encode[R any](e envelope[R]) ([]byte, error) {
 	payload, err := json.Marshal(e)
 	if err != nil {
-		return nil, fmt.Errorf("journal: encode envelope: %w", err)
+		return nil, fmt.Errorf("%w: %w", errNotEncoded, err)
+	}
+	if len(payload) > maxEnvelopeSize {
+		return nil, fmt.Errorf("%w: it has %d bytes, the limit is %d", errNotEncoded, len(payload), maxEnvelopeSize)
+	}
+	packed, err := pack(payload)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotEncoded, err)
 	}
-	return pack(payload)
+	return packed, nil
 }
 
 func decode[R any](payload []byte) (envelope[R], error) {
 	var e envelope[R]
-	data, err := unpack(payload)
+	data, err := unpack(payload, maxEnvelopeSize)
 	if err != nil {
 		return e, err
 	}
--- a/internal/process/journal/export_test.go
+++ b/internal/process/journal/export_test.go
@@ -4,4 +4,4 @@
 func Pack(payload []byte) ([]byte, error) { return pack(payload) }
 
 // Unpack gives tests access to unpack.
-func Unpack(payload []byte) ([]byte, error) { return unpack(payload) }
+func Unpack(payload []byte) ([]byte, error) { return unpack(payload, maxUnpackedSize) }
--- a/internal/process/journal/keyed.go
+++ b/internal/process/journal/keyed.go
@@ -70,7 +70,7 @@
 	defer j.mu.Unlock()
 	envelopes, newest := separate[R](records)
 	if newest.data != nil && (!j.started || newest.upTo > j.state.offset) {
-		data, err := unpack(newest.data)
+		data, err := unpack(newest.data, maxUnpackedSize)
 		if err != nil {
 			return 0, err
 		}
--- a/internal/process/journal/snapshot_assembler.go
+++ b/internal/process/journal/snapshot_assembler.go
@@ -14,6 +14,9 @@
 // maxOpenSnapshots is the maximum number of incomplete snapshots whose chunks are kept.
 const maxOpenSnapshots = 8
 
+// maxChunks is the maximum number of chunks of a snapshot, whose packed size unpack limits.
+const maxChunks = maxUnpackedSize / chunkSize
+
 // splitSnapshot splits a packed snapshot that covers the stream up to the offset into
 // chunks.
 func splitSnapshot(upTo platform.Offset, data []byte) []chunk {
@@ -37,9 +40,9 @@
 }
 
 // add stores a chunk. If the chunk completes its snapshot, add returns the packed snapshot
-// and whether its digest is correct, otherwise nil and false.
+// and whether its digest is correct, otherwise nil and false. The chunk may come from another writer.
 func (a *snapshotAssembler) add(c chunk) ([]byte, bool) {
-	if c.Count < 1 || c.Index < 0 || c.Index >= c.Count {
+	if c.Count < 1 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count {
 		return nil, false
 	}
 	if a.pieces == nil {
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -247,7 +247,7 @@
 		// The records between the snapshot and the first pending one are missing.
 		return
 	}
-	data, err := unpack(packed)
+	data, err := unpack(packed, maxUnpackedSize)
 	if err != nil {
 		return
 	}
--- a/internal/process/journal/write.go
+++ b/internal/process/journal/write.go
@@ -122,6 +122,9 @@
 			return nil
 		}
 		err := j.tryAppend(ctx, e)
+		if errors.Is(err, errNotEncoded) {
+			return fmt.Errorf("%w: %w", ErrNotAppended, err)
+		}
 		throttled := errors.Is(err, platform.ErrThrottled)
 		retryThrottled := throttled && j.options.Clock()-start < throttleRetryTime
 		// A throttled append that is repeated shows neither that the log accepts appends nor that it
