platform, runner: an odd row in a minion's lists does not hide the others

What callers would see: nothing runs or ends on that minion any more (LOST).

Cause: one row that could not be decoded made the whole answer to a poll an error. Repeated, it made the minion unresponsive, so that its leases lapsed.

Change: rows that cannot be decoded are left out and logged once. The status is partial then: no run is taken for lost, as with more ends than are listed; the field is called Partial for both.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -183,7 +184,7 @@
 	if v.hasFillersBesideLatencySensitive() {
 		order.Wait = min(order.Wait, sharedPollWait)
 	}
-	if l.hasUnrecordedEnds(v) || l.status.MoreEnds || l.leaving {
+	if l.hasUnrecordedEnds(v) || l.status.Partial || l.leaving {
 		order.Wait = 0
 	}
 	return order
@@ -248,6 +249,9 @@
 	default:
 		return
 	}
+	if r.life.status.Unreadable == nil && status.Unreadable != nil {
+		r.logger.Warn("status has rows that cannot be decoded", "worker", r.life.id, "running", len(status.Running), "ended", len(status.Ended), "error", fmt.Sprintf("%.300s", status.Unreadable))
+	}
 	r.life.update(order, status, sentAt, receivedAt)
 	r.life.recordFencing(order, receivedAt, r.settings.MaxLease)
 }
--- a/internal/process/runner/loss.go
+++ b/internal/process/runner/loss.go
@@ -75,7 +75,7 @@
 	if l.status.listsEnded(ref, run.number) {
 		return true
 	}
-	return l.status.MoreEnds && run.phase == phaseStarted && l.statusSentAt > run.startedAt && !l.status.listsRunning(ref, run.number)
+	return l.status.Partial && run.phase == phaseStarted && l.statusSentAt > run.startedAt && !l.status.listsRunning(ref, run.number)
 }
 
 // logLoss logs and counts the runs that were lost with the life.
--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -81,9 +81,11 @@
 	Running []RunStatus
 	// Ended are the ends with a number above Poll.SeenEnds, in ascending order of their numbers.
 	Ended []workload.End
-	// MoreEnds is set if there may be further ends, with higher numbers than those in Ended. A run that is
-	// in neither list may have ended then.
-	MoreEnds bool
+	// Partial is set if the lists may lack runs or ends: there are more ends, with higher numbers, than the
+	// minion lists at a time, or Unreadable is set. A run that is in neither list may be running or have ended.
+	Partial bool
+	// Unreadable is the error of the first row that could not be decoded; nil if all could.
+	Unreadable error
 }
 
 // listsRunning reports whether the run is listed as running.
@@ -98,7 +100,7 @@
 
 // lacks reports whether the minion certainly has no run of that number, neither running nor ended.
 func (s Status) lacks(ref workload.TaskRef, n workload.Run) bool {
-	return !s.MoreEnds && !s.listsRunning(ref, n) && !s.listsEnded(ref, n)
+	return !s.Partial && !s.listsRunning(ref, n) && !s.listsEnded(ref, n)
 }
 
 // RunStatus is the state of a run that a minion lists as running.
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -121,7 +121,7 @@
 		r.pollNow(l)
 		return
 	}
-	if l.status.MoreEnds && v.known {
+	if l.status.Partial && v.known {
 		// The minion lists the next ends once the first ones are recorded. The runs can be rebuilt from
 		// a status that lists all that are left.
 		r.recordEnds(l, v)
@@ -130,7 +130,7 @@
 	r.resetRuns(l, v)
 	l.announcePending = true
 	a := l.announcement
-	ends, partial := len(l.status.Ended), l.status.MoreEnds
+	ends, partial := len(l.status.Ended), l.status.Partial
 	r.propose(workload.Record{Announce: &workload.Announce{
 		Life: l.id, Machine: a.Machine, Agent: r.self, Address: r.settings.Address, Service: a.Service, FailureDomain: r.settings.FailureDomain,
 		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended, Partial: partial, Crashes: l.crashes,
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -152,7 +152,7 @@
 		run.phase, run.startedAt = phaseStarted, l.statusSentAt
 	case l.status.listsEnded(ref, run.number):
 		run.phase = phaseEnded
-	case l.status.MoreEnds:
+	case l.status.Partial:
 		// The run may have ended. The polls that follow list the other ends.
 		return
 	case run.outdated:
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -227,7 +227,7 @@
 	}
 	s.Ended = slices.Clone(m.ended)
 	if n := m.MaxListedEnds; n > 0 && len(s.Ended) >= n {
-		s.Ended, s.MoreEnds = s.Ended[:n], true
+		s.Ended, s.Partial = s.Ended[:n], true
 	}
 	return s, nil
 }
