--- a/internal/process/intake/intake.go
+++ b/internal/process/intake/intake.go
@@ -250,7 +250,11 @@
 // those of Status, ErrNotStored and ErrUnknownFate.
 func (s *Service) Cancel(ctx context.Context, g Grant, id workload.JobID) error {
 	err := s.retry(ctx, func() (outage.Priority, error) {
-		if _, err := s.status(g, id); err != nil {
+		_, err := s.status(g, id)
+		if errors.Is(err, ErrNoJob) {
+			_, err = s.recentStatus(ctx, g, id)
+		}
+		if err != nil {
 			return g.priority(), err
 		}
 		return g.priority(), s.proposeCancellation(ctx, id)
@@ -303,6 +307,27 @@
 	return status, nil
 }
 
+// recentStatus is status for a state that includes all jobs that any entry had accepted before the call, and
+// those that this entry has proposed. Its caller takes ErrNoJob for final: a job that is not cancelled runs.
+func (s *Service) recentStatus(ctx context.Context, g Grant, id workload.JobID) (Status, error) {
+	started := s.clock()
+	ticker := time.NewTicker(recheckInterval)
+	defer ticker.Stop()
+	err := s.journal.Sync(ctx)
+	for err == nil && s.undecided.has(id) {
+		select {
+		case <-ctx.Done():
+			err = fmt.Errorf("a submission of job %s is undecided: %w", id, ctx.Err())
+		case <-ticker.C:
+		}
+	}
+	s.logger.Info("confirm that a job is unknown", "job", id, "queue", g.Queue.Name, "ms", (s.clock() - started).Milliseconds(), "error", err)
+	if err != nil {
+		return Status{}, fmt.Errorf("%w: %w", ErrNotReady, err)
+	}
+	return s.status(g, id)
+}
+
 // Pending returns the number of the queue's open jobs that have not started.
 func (s *Service) Pending(q bundle.QueueName) int {
 	n := 0
--- a/internal/process/intake/intake_test.go
+++ b/internal/process/intake/intake_test.go
@@ -25,6 +25,8 @@
 type fixture struct {
 	*intake.Service
 	log *standin.Log
+	// reads is the log as the intake's journal sees it.
+	reads *timeoutLog
 	// age is the time since the bundle was confirmed.
 	age time.Duration
 	now func() time.Duration
@@ -46,13 +48,21 @@
 }
 
 // timeoutLog is a log whose reads time out as those of the platform's store do.
-type timeoutLog struct{ standin.KeyedLog }
+type timeoutLog struct {
+	standin.KeyedLog
+	// lag is how long the records of a read that waits for them are on their way.
+	lag time.Duration
+}
 
 // Read implements platform.Log.
 func (l *timeoutLog) Read(ctx context.Context, name platform.Stream, from platform.Offset, limit int, wait time.Duration) ([]platform.LogRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+700*time.Millisecond)
 	defer cancel()
-	return l.KeyedLog.Read(ctx, name, from, limit, wait)
+	records, err := l.KeyedLog.Read(ctx, name, from, limit, wait)
+	if wait > 0 && len(records) > 0 {
+		time.Sleep(l.lag)
+	}
+	return records, err
 }
 
 // withIntake runs f in virtual time with an intake that has read its log to the end.
@@ -70,7 +80,8 @@
 			},
 		})
 		state := workload.NewState()
-		j := journal.New(&timeoutLog{standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "entry"}}, "Workload",
+		d.reads = &timeoutLog{KeyedLog: standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "entry"}}
+		j := journal.New(d.reads, "Workload",
 			incarnation.New("entry", time.Now()), journal.StateMachine[workload.Record](state), journal.Options{
 				Clock: d.now, SnapshotEvery: 40, ReadWait: time.Second, AppendTimeout: 700 * time.Millisecond, CheckInterval: 250 * time.Millisecond,
 				MaySnapshot: func() bool { return false },
@@ -208,3 +219,64 @@
 		}
 	})
 }
+
+// A job is accepted by another entry and cancelled here before this entry has read its record. The answer
+// must not be that there is no such job: it would run although its caller has cancelled it.
+func TestJobAcceptedElsewhereCanBeCancelled(t *testing.T) {
+	withIntake(t, func(t *testing.T, d *fixture) {
+		d.reads.lag = 500 * time.Millisecond
+		other := &standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "other"}
+		state := workload.NewState()
+		j := journal.New(other, "Workload", "other", journal.StateMachine[workload.Record](state), journal.Options{Clock: d.now})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := j.Start(ctx)
+		time.Sleep(time.Second)
+		if err := j.Propose(t.Context(), workload.Record{Submit: &workload.Submit{Spec: job("a")}}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.Status(grant(), "a"); !errors.Is(err, intake.ErrNoJob) {
+			t.Fatalf("status: got %v, want an entry that does not know the job yet", err)
+		}
+		if err := d.Cancel(t.Context(), grant(), "a"); err != nil {
+			t.Errorf("cancel: got %v, want no error", err)
+		}
+		if err := d.Cancel(t.Context(), grant(), "b"); !errors.Is(err, intake.ErrNoJob) {
+			t.Errorf("cancel of a job that nobody has submitted: got %v, want ErrNoJob", err)
+		}
+		time.Sleep(3 * time.Second)
+		j.View(func(time.Time) {
+			if got := state.Job("a").Outcome; got != workload.OutcomeCancelled {
+				t.Errorf("got outcome %q, want a cancelled job", got)
+			}
+		})
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// The fate of a submission is unknown, and its caller cancels the job. The answer must not be that there is no
+// such job, since the submission may still take effect.
+func TestUndecidedJobIsNotUnknownToCancel(t *testing.T) {
+	withIntake(t, func(t *testing.T, d *fixture) {
+		d.reads.SetSilent(true)
+		call := func(f func(ctx context.Context) error) error {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			return f(ctx)
+		}
+		if err := call(func(ctx context.Context) error { return d.Submit(ctx, job("a")) }); !errors.Is(err, intake.ErrUnknownFate) {
+			t.Fatalf("submit: got %v, want ErrUnknownFate", err)
+		}
+		err := call(func(ctx context.Context) error { return d.Cancel(ctx, grant(), "a") })
+		if !errors.Is(err, intake.ErrNotReady) {
+			t.Errorf("cancel: got %v, want ErrNotReady", err)
+		}
+		d.reads.SetSilent(false)
+		time.Sleep(2 * time.Second)
+		if err := call(func(ctx context.Context) error { return d.Cancel(ctx, grant(), "a") }); err != nil {
+			t.Errorf("cancel after the outage: got %v, want no error", err)
+		}
+	})
+}
