allocation, scheduler: tasks of a service that nobody can vouch for count as away

Cause: the budget of disruptions counted a task as available as long as its run was recorded as running. A task on a worker that does not answer, is suspected or drains was available for it, as was one whose stop had been proposed and had no result yet (the class of the undecided records).

A gang counts with all its members. The leader passes stops whose results it does not know, and withdraws records that were not sent within two seconds.

Not covered: a task that takes longer than three seconds to start; the state does not have its progress.

--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -32,6 +32,8 @@
 	Now time.Duration
 	// WallTime is the wall-clock time of the decision. It is compared with due times only.
 	WallTime time.Time
+	// UndecidedStops are tasks whose stops were proposed and may still take effect.
+	UndecidedStops []workload.TaskRef
 	// Permits looks up known permits. If it is nil, units that need a permit are not placed.
 	Permits Permits
 }
@@ -78,7 +80,8 @@
 	hosts       []*host
 	hostsByLife map[workload.LifeID]*host
 	racks       map[rackKey][]*host
-	// stopping holds the tasks whose run is being stopped, by this round or an earlier one.
+	// stopping holds the tasks whose run is being stopped, by this round or an earlier one, or may be by an
+	// undecided stop.
 	stopping map[workload.TaskRef]bool
 	// withinGuarantee holds the organisations whose open priority-0 jobs need no more
 	// accelerators than the organisation's guarantee.
--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -25,6 +25,8 @@
 	bundle  *bundle.Bundle
 	// endNumbers is the number of the latest recorded end per worker.
 	endNumbers map[workload.LifeID]uint64
+	// undecidedStops is passed to decisions.
+	undecidedStops []workload.TaskRef
 }
 
 const leader incarnation.ID = "leader"
@@ -79,7 +81,7 @@
 	f.t.Helper()
 	f.history.Update(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
 	d := allocation.Decide(allocation.Input{
-		State: f.state, History: &f.history, Now: f.now, Bundle: f.bundle, Rules: allocation.Rules{FarFactor: 3},
+		State: f.state, History: &f.history, Now: f.now, Bundle: f.bundle, Rules: allocation.Rules{FarFactor: 3}, UndecidedStops: f.undecidedStops,
 	})
 	for _, s := range d.Stops {
 		s.Term = 1
--- a/internal/process/allocation/evict.go
+++ b/internal/process/allocation/evict.go
@@ -159,11 +159,11 @@
 	for _, victims := range [][]*victim{s.selected, taken} {
 		for _, other := range victims {
 			if other.step == v.step {
-				stopping++
+				stopping += len(other.members)
 			}
 		}
 	}
-	return stopping >= budget
+	return stopping+len(v.members) > budget
 }
 
 // freedCapacity returns the capacity that becomes free on h when v ends.
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -58,6 +58,13 @@
 		withinGuarantee:   organisationsWithinGuarantee(in.State, in.Bundle),
 		serviceCapacities: map[bundle.ServiceName]workload.Resources{},
 	}
+	for _, r := range in.UndecidedStops {
+		if j, step, _, known := in.State.Task(r); known {
+			for _, member := range membersOf(j, r, step) {
+				p.stopping[member] = true
+			}
+		}
+	}
 	for _, w := range in.State.Workers() {
 		if !w.Gone && !in.State.IsEvacuated(w) {
 			p.serviceCapacities[w.Service] = p.serviceCapacities[w.Service].Plus(w.Room)
@@ -96,7 +103,7 @@
 		}
 		h.addTasks(step, 1)
 		h.noteRun(p, r)
-		if _, _, t, known := p.State.Task(r); known && t.Phase != workload.PhaseRunning {
+		if _, _, t, known := p.State.Task(r); known && (t.Phase != workload.PhaseRunning || p.stopping[r]) {
 			h.afterStops = h.afterStops.Plus(p.reservation(r))
 			p.stopping[r] = true
 		}
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -127,32 +127,6 @@
 	}
 }
 
-// longRunningStartup is how long a long-running task takes from its start order until it is
-// ready.
-const longRunningStartup = 3 * time.Second
-
-// disruptionBudget returns how many more tasks of the victim's step decisions may stop: the step's
-// MayMiss less the tasks that are not ready now. It is negative if unlimited.
-func (p *plan) disruptionBudget(v *victim) int {
-	if !v.longRunning {
-		return -1
-	}
-	r := v.task
-	j := p.State.Job(r.Job)
-	spec := j.Steps[r.Step]
-	if spec.MayMiss == 0 {
-		return -1
-	}
-	unavailable := 0
-	for k, t := range j.Occurrences[r.Occurrence].Steps[r.Step].Tasks {
-		ref := j.Ref(r.Occurrence, r.Step, k)
-		if t.Phase != workload.PhaseRunning || p.stopping[ref] || p.History.Elapsed(ref, p.Now) < longRunningStartup {
-			unavailable++
-		}
-	}
-	return max(spec.MayMiss-unavailable, 0)
-}
-
 // restartCost is the run time that every stop loses at least: the time for the stop order,
 // the end of the run and the start of the next run.
 const restartCost = 300 * time.Millisecond
--- a/internal/process/scheduler/decide.go
+++ b/internal/process/scheduler/decide.go
@@ -17,7 +17,7 @@
 	due := s.superviseWorkers(term, now)
 	input := allocation.Input{
 		State: s.state, History: &s.history, Rules: s.settings.Allocation, Now: now, WallTime: time.Now(),
-		Permits: s.permits,
+		Permits: s.permits, UndecidedStops: s.undecidedStops.tasks(),
 	}
 	if current := s.bundles.Current(); current != nil {
 		input.Bundle = current.Bundle
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -90,7 +91,8 @@
 	leaving, resigned atomic.Bool
 	// lastDecision is the last decision of this process as leader whose records, if any, all took effect;
 	// nil before the first.
-	lastDecision atomic.Pointer[decision]
+	lastDecision   atomic.Pointer[decision]
+	undecidedStops undecidedStops
 
 	// history is guarded by the journal's lock. Only the goroutine of Start uses the
 	// fields below it. Their times are readings of clock.
@@ -337,10 +339,27 @@
 	}
 }
 
+// propose proposes a record and returns its result. After proposeTimeout the record is withdrawn, or its fate
+// remains unknown if it is part of an append.
 func (s *Scheduler) propose(ctx context.Context, r workload.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	return s.journal.Propose(ctx, r)
+	pending, err := s.journal.Enqueue(r)
+	if err != nil {
+		return fmt.Errorf("scheduler: propose: %w", err)
+	}
+	select {
+	case err := <-pending.Done():
+		return err
+	case <-ctx.Done():
+	}
+	if pending.Withdraw() {
+		return fmt.Errorf("scheduler: withdrawn after %v: %w", proposeTimeout, journal.ErrNotAppended)
+	}
+	if r.Stop != nil {
+		s.undecidedStops.add(r.Stop.Task, pending)
+	}
+	return fmt.Errorf("scheduler: propose: %w", journal.ErrFateUnknown)
 }
 
 // logRecord logs a proposed placement, stop, suspicion or lapse with its result.
