--- a/internal/process/runner/minion.go
+++ b/internal/process/runner/minion.go
@@ -109,7 +109,9 @@
 }
 
 // listsRunning reports whether the run is listed as running.
-func (s Status) listsRunning(ref workload.TaskRef, n workload.Run) bool { return s.running[runKey{ref, n}] }
+func (s Status) listsRunning(ref workload.TaskRef, n workload.Run) bool {
+	return s.running[runKey{ref, n}]
+}
 
 // listsEnded reports whether the run is listed as ended.
 func (s Status) listsEnded(ref workload.TaskRef, n workload.Run) bool { return s.ended[runKey{ref, n}] }
