--- a/internal/process/journal/compress.go
+++ b/internal/process/journal/compress.go
@@ -16,7 +16,7 @@
 	// maxEnvelopeSize that of an envelope, which comes in one record. They keep a corrupt payload from taking all
 	// memory.
 	maxUnpackedSize = 64 << 20
-	maxEnvelopeSize = 16 << 20
+	maxEnvelopeSize = 8 << 20
 )
 
 // gzipMagic is the prefix of every compressed payload. No JSON text begins with it.
