--- a/internal/process/scheduler/installation_test.go
+++ b/internal/process/scheduler/installation_test.go
@@ -74,6 +74,8 @@
 	agents         []*testAgent
 	// maxLease is the longest lease that minions added from now on accept.
 	maxLease time.Duration
+	// prepareMinion changes each minion that is added from now on before its first life; nil changes nothing.
+	prepareMinion func(*standin.TaskMinion)
 	// evacuationTime is the runner.Settings.EvacuationTime of agents that start from now on.
 	evacuationTime time.Duration
 	// logger receives the log lines of all processes; nil stands for testLogger.
@@ -404,6 +406,9 @@
 		Crashes: func(o runner.Start) standin.CrashMode { return in.crashMode(o.Task) }, DownTime: 3 * time.Second,
 		Permitted: func(o runner.Start) bool { return in.adviser.acceptsStart(a.minion, o) },
 	}
+	if in.prepareMinion != nil {
+		in.prepareMinion(a.minion)
+	}
 	a.minion.StartLife()
 	in.agents = append(in.agents, a)
 	a.start()
--- a/internal/process/scheduler/listed_ends_test.go
+++ b/internal/process/scheduler/listed_ends_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"corianderpass/internal/process/standin"
 	"corianderpass/internal/process/workload"
 )
 
@@ -12,8 +13,8 @@
 
 // manyEnds returns an installation's only worker, whose minion lists few ends, and a job for it.
 func manyEnds(in *installation) (*testAgent, workload.JobSpec) {
+	in.prepareMinion = func(m *standin.TaskMinion) { m.MaxListedEnds = listedEnds }
 	a := in.addPromptWorker()
-	a.minion.MaxListedEnds = listedEnds
 	return a, spec("job", manyTasks, workload.Resources{Cores: 100, Memory: 1})
 }
 
@@ -112,9 +113,9 @@
 func TestManyTasksOfOneMinionRunOnce(t *testing.T) {
 	withInstallation(t, func(t *testing.T, in *installation) {
 		const tasks = 1500
+		in.prepareMinion = func(m *standin.TaskMinion) { m.MaxListedEnds = 500 }
 		a := in.addWorker(workload.Resources{Cores: 200_000, Memory: 2000})
 		a.readsWithoutPause.Store(true)
-		a.minion.MaxListedEnds = 500
 		time.Sleep(4 * time.Second)
 		in.setDuration(9 * time.Second)
 		in.submit(spec("job", tasks, workload.Resources{Cores: 100, Memory: 1}))
--- a/internal/process/scheduler/lives_test.go
+++ b/internal/process/scheduler/lives_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderpass/internal/process/runner"
+	"corianderpass/internal/process/standin"
 	"corianderpass/internal/process/workload"
 )
 
@@ -147,8 +148,8 @@
 // otherwise the leases of its runs expire, and the agent never learns of their ends.
 func TestReportOfUnreachableMinionDoesNotStopPolls(t *testing.T) {
 	withInstallation(t, func(t *testing.T, in *installation) {
+		in.prepareMinion = func(m *standin.TaskMinion) { m.IgnoresOthers = true }
 		a := in.addPromptWorker()
-		a.minion.IgnoresOthers = true
 		in.setDuration(2 * testMaxLease)
 		in.submit(spec("job", 1, smallTask()))
 		in.awaitStarts(1)
