--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -91,7 +91,8 @@
 	leaving, resigned atomic.Bool
 	// lastDecision is the last decision of this process as leader whose records, if any, all took effect;
 	// nil before the first.
-	lastDecision   atomic.Pointer[decision]
+	lastDecision atomic.Pointer[decision]
+	// undecidedStops are the stops that this process has proposed as leader and whose results it does not know.
 	undecidedStops undecidedStops
 
 	// history is guarded by the journal's lock. Only the goroutine of Start uses the
