--- a/internal/process/scheduler/listed_ends_test.go
+++ b/internal/process/scheduler/listed_ends_test.go
@@ -71,20 +71,9 @@
 // not be placed again before all their ends are recorded, which takes several answers.
 func TestUnlistedEndsOfNextLifeAreRecordedFirst(t *testing.T) {
 	withInstallation(t, func(_ *testing.T, in *installation) {
-		const orderDelay, restartLead = 3 * time.Second, 10 * time.Millisecond
 		a, s := manyEnds(in)
 		in.setDuration(time.Millisecond)
-		a.minion.DelayStarts(manyTasks)
-		in.submit(s)
-		for a.minion.DelayedStarts() > 0 {
-			time.Sleep(time.Millisecond)
-		}
-		a.minion.SetUnresponsive(true, false)
-		time.Sleep(orderDelay - restartLead)
-		a.minion.StartLife()
-		a.minion.SetUnresponsive(true, false)
-		time.Sleep(2 * restartLead)
-		a.minion.SetUnresponsive(false, false)
+		in.submitToNextLife(a, s)
 		in.await("job", workload.OutcomeCompleted, 20*time.Second)
 		in.wantStartsOfAll(s)
 	})
--- a/internal/process/scheduler/lives_test.go
+++ b/internal/process/scheduler/lives_test.go
@@ -60,26 +60,33 @@
 	})
 }
 
+// submitToNextLife submits a job of one step for the only worker. The starts of its tasks get no answer, and arrive
+// just after the minion has restarted under its ID. Until they have been carried out, it does not answer its agent.
+func (in *installation) submitToNextLife(a *testAgent, s workload.JobSpec) {
+	in.t.Helper()
+	const orderDelay, restartLead = 3 * time.Second, 10 * time.Millisecond
+	a.minion.DelayStarts(s.Steps[0].Tasks)
+	in.submit(s)
+	for a.minion.DelayedStarts() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.minion.SetUnresponsive(true, false)
+	time.Sleep(orderDelay - restartLead)
+	a.minion.StartLife()
+	a.minion.SetUnresponsive(true, false)
+	time.Sleep(2 * restartLead)
+	a.minion.SetUnresponsive(false, false)
+}
+
 // A minion restarts under its ID just before an order of its earlier life arrives. The new
 // life carries the order out and has ended the run before it answers its agent. The agent
 // must announce that end with the life: the task must not be placed again first.
 func TestRunOfEarlierLifeIsNotRepeatedInNewLife(t *testing.T) {
 	withInstallation(t, func(t *testing.T, in *installation) {
-		const orderDelay, restartLead = 3 * time.Second, 10 * time.Millisecond
 		a := in.addWorker(workerCapacity())
 		time.Sleep(4 * time.Second)
 		in.setDuration(time.Millisecond)
-		a.minion.DelayStarts(1)
-		in.submit(spec("job", 1, smallTask()))
-		for a.minion.DelayedStarts() > 0 {
-			time.Sleep(time.Millisecond)
-		}
-		a.minion.SetUnresponsive(true, false)
-		time.Sleep(orderDelay - restartLead)
-		a.minion.StartLife()
-		a.minion.SetUnresponsive(true, false)
-		time.Sleep(2 * restartLead)
-		a.minion.SetUnresponsive(false, false)
+		in.submitToNextLife(a, spec("job", 1, smallTask()))
 		// After the announcement, the agent can record nothing for longer than the leader
 		// takes to place the task again.
 		for !in.isPresent(runner.LifeID(a.minion.ID, a.minion.Born())) {
