--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -28,6 +28,7 @@
 	"gang":     gangWaitsForever,
 	"pending":  pendingOmitsJobs,
 	"reclaim":  guaranteeIsNotReclaimed,
+	"block":    urgentGangBlocksPool,
 	"progress": slowProgressBlocksWorkers,
 }
 
