scheduler: log a last attempt that waits although it fits where it failed

The leader's log had a delayed line after five seconds and nothing else, so that an exclusion after failures, a quarantine, a slow worker and headroom looked alike.

Change: RecordFailure keeps the time of a failure, a decision lists the occurrences whose last attempt would fit on workers on which it has failed, and the leader logs them (last attempt waits), at most every two seconds for an occurrence. corianderpass explain names the cause "failed before".

No decision changes.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -168,7 +168,7 @@
 	case h.probation != "":
 		cost += probationCost
 	}
-	if u.failedOn[h.worker.Life] {
+	if u.hasFailedOn(h) {
 		cost += failedWorkerCost
 	}
 	if u.step.Filler && h.hasLatencySensitive || u.step.TailTarget > 0 && h.hasFiller {
--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -47,12 +47,16 @@
 	Delays []Delay
 	// HeldBack are the occurrences that wait although they fit, in the order of their ranks.
 	HeldBack []HeldBack
+	// FailureWaits are the occurrences whose last attempt waits for workers on which it has not failed, in the
+	// order of their ranks.
+	FailureWaits []FailureWait
 	// PermitQueries are the queries to the adviser whose answers may allow more placements, the
 	// most urgent first.
 	PermitQueries []permit.Query
 }
 
-// Empty reports whether there is nothing to propose. It ignores Delays, HeldBack and PermitQueries.
+// Empty reports whether there is nothing to propose. It ignores Delays, HeldBack,
+// FailureWaits and PermitQueries.
 func (d Decision) Empty() bool { return len(d.Places)+len(d.Stops) == 0 }
 
 // Decide returns the runs to start and to stop now. It places the waiting units in order of
@@ -66,6 +70,7 @@
 	for _, u := range p.rankedUnits() {
 		if !p.tryPlace(u) {
 			p.noteHeldBack(u)
+			p.noteFailureWait(u)
 			p.queryPermits(u)
 		}
 	}
@@ -93,6 +98,8 @@
 	forecasts map[occurrenceKey]*forecast
 	// headroom is a cache of hostsFor.
 	headroom headroom
+	// failureWaitNoted holds the steps for which noteFailureWait was called in this round.
+	failureWaitNoted map[workload.StepRef]bool
 	// ends and victims are caches of expectedEnds and runsByLoss; nil until their first use.
 	ends     []expectedEnd
 	victims  map[*host][]*victim
--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -417,7 +417,7 @@
 			}
 			f.endWhere(func(r workload.TaskRef, task *workload.Task) (workload.RunOutcome, bool) {
 				if task.Worker == faulty {
-					f.history.RecordFailure(f.state.Job("job"), r, faulty)
+					f.history.RecordFailure(f.state.Job("job"), r, faulty, f.now)
 					return workload.RunFailed, true
 				}
 				return workload.RunGangBroken, gang
@@ -439,7 +439,7 @@
 			if r.Job != "job" {
 				return "", false
 			}
-			f.history.RecordFailure(f.state.Job("job"), r, task.Worker)
+			f.history.RecordFailure(f.state.Job("job"), r, task.Worker, f.now)
 			return workload.RunFailed, true
 		})
 		f.decide()
@@ -464,7 +464,7 @@
 	for range 2 {
 		f.decide()
 		f.endWhere(func(r workload.TaskRef, task *workload.Task) (workload.RunOutcome, bool) {
-			f.history.RecordFailure(f.state.Job("job"), r, task.Worker)
+			f.history.RecordFailure(f.state.Job("job"), r, task.Worker, f.now)
 			return workload.RunFailed, true
 		})
 	}
--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -34,8 +34,9 @@
 	durationModels map[bundle.QueueName]*durationModel
 	// steps has the durations observed for each step of an open job.
 	steps map[stepRef]*stepDurations
-	// failures has the workers on which each task or gang has failed, by failureKey.
-	failures map[workload.TaskRef]map[workload.LifeID]bool
+	// failures has the workers on which each task or gang has failed, with the time of the latest failure
+	// there, by failureKey.
+	failures map[workload.TaskRef]map[workload.LifeID]time.Duration
 }
 
 // runHistory is what was observed of the current run of a task.
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -167,7 +167,7 @@
 // maxMembers returns how many members of the unit, at most all of them, may start on the free
 // capacity of the host. It returns 0 if the unit may not run on the host.
 func (h *host) maxMembers(u *unit, capacity capacityFunc) int {
-	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) || u.excludesFailed && u.failedOn[h.worker.Life] || h.excludes(u) {
+	if !h.worker.Allows(u.job.Service, u.step) || !u.permitted(h) || u.excludesFailed && u.hasFailedOn(h) || h.excludes(u) {
 		return 0
 	}
 	n := countFitting(u.step.Reservation(), capacity(h), len(u.members))
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -24,9 +24,9 @@
 	// permits has the permit of each worker that may run the unit; nil if the unit needs no
 	// permits.
 	permits map[workload.LifeID]workload.Permit
-	// failedOn are the workers on which the unit has failed. If excludesFailed is true, the
-	// unit is not placed on them.
-	failedOn       map[workload.LifeID]bool
+	// failedOn are the workers on which the unit has failed, with the time of the latest failure there. If
+	// excludesFailed is true, the unit is not placed on them.
+	failedOn       map[workload.LifeID]time.Duration
 	excludesFailed bool
 	// implicated is true if a member is implicated in a crash.
 	implicated bool
--- a/internal/process/scheduler/delays.go
+++ b/internal/process/scheduler/delays.go
@@ -39,3 +39,15 @@
 	}
 	s.loggedHeldBack.prune(now, minDelayLogInterval)
 }
+
+// logFailureWaits logs the occurrences whose last attempt newly waits for workers on which it has not failed.
+func (s *Scheduler) logFailureWaits() {
+	now := s.clock()
+	for _, w := range s.failureWaits {
+		if s.loggedFailureWaits.isDue(delayKey{w.Job, w.Occurrence}, w.Failures, now, minDelayLogInterval) {
+			s.logger.Info("last attempt waits", "job", w.Job, "occurrence", w.Occurrence, "failures", w.Failures, "attempts", w.Attempts,
+				"failed_workers", w.FailedWorkers, "last_failure_ms", w.SinceFailure.Milliseconds())
+		}
+	}
+	s.loggedFailureWaits.prune(now, minDelayLogInterval)
+}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -116,12 +116,14 @@
 	answers chan answer
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
-	// delays and heldBack are those of the last decision. loggedDelays has whether the logged delays were
-	// missed.
-	delays         []allocation.Delay
-	loggedDelays   changeFilter[delayKey, bool]
-	heldBack       []allocation.HeldBack
-	loggedHeldBack changeFilter[delayKey, struct{}]
+	// delays, heldBack and failureWaits are those of the last decision. loggedDelays has whether the logged
+	// delays were missed, loggedFailureWaits the number of failures.
+	delays             []allocation.Delay
+	loggedDelays       changeFilter[delayKey, bool]
+	heldBack           []allocation.HeldBack
+	loggedHeldBack     changeFilter[delayKey, struct{}]
+	failureWaits       []allocation.FailureWait
+	loggedFailureWaits changeFilter[delayKey, int]
 }
 
 // New returns a Scheduler that decides nothing before Start. Its Observe method must be
@@ -153,7 +155,7 @@
 		s.permits.Drop(r.Task.StepRef(), r.Life)
 	}
 	if e.Job != nil && e.Worker != nil && e.RunEnd.How == workload.RunFailed {
-		s.history.RecordFailure(e.Job, e.RunEnd.Task, e.Worker.Life)
+		s.history.RecordFailure(e.Job, e.RunEnd.Task, e.Worker.Life, s.clock())
 	}
 	if e.Job == nil || e.RunEnd.How != workload.RunDone {
 		return
@@ -230,6 +232,7 @@
 		s.monitor.Reset()
 		s.logDelays()
 		s.logHeldBack()
+		s.logFailureWaits()
 		s.permits.SetQueries(queries)
 		if s.proposeAsLeader(ctx, term, due, queries) {
 			s.lastDecision.Store(&decision{at: s.clock(), offset: offset})
--- a/internal/process/simulation/day.go
+++ b/internal/process/simulation/day.go
@@ -234,7 +234,7 @@
 		a.endedAt, a.outcome = d.now-clockStart, e.EndedJob.Outcome
 	}
 	if e.Job != nil && e.Worker != nil && e.RunEnd.How == workload.RunFailed {
-		d.history.RecordFailure(e.Job, e.RunEnd.Task, e.Worker.Life)
+		d.history.RecordFailure(e.Job, e.RunEnd.Task, e.Worker.Life, d.now)
 	}
 	if e.Job != nil && e.RunEnd.How == workload.RunDone {
 		d.history.RecordSuccess(e.Job, e.RunEnd.Task, e.RunEnd.Ran)
--- a/internal/process/timeline/account.go
+++ b/internal/process/timeline/account.go
@@ -70,11 +70,11 @@
 	stretch    float64
 	target     time.Duration
 	steps      []stepShape
-	// heldBackAt and delayedAt are the first lines that say so.
-	heldBackAt, delayedAt time.Time
-	runs                  map[runKey]*run
-	endedAt               time.Time
-	outcome, failure      string
+	// heldBackAt and delayedAt are the first lines that say so, failureWaitAt the last one.
+	heldBackAt, delayedAt, failureWaitAt time.Time
+	runs                                 map[runKey]*run
+	endedAt                              time.Time
+	outcome, failure                     string
 }
 
 type runKey struct {
@@ -165,7 +165,7 @@
 		if !l.failed() {
 			a.leaderless = endInterval(a.leaderless, l.Time)
 		}
-	case "call", "submit", "job ended", "delayed", "held back":
+	case "call", "submit", "job ended", "delayed", "held back", "last attempt waits":
 		if j := a.job(l.Job); j != nil {
 			j.add(l)
 			a.addEvent(l, l.Job)
@@ -349,6 +349,9 @@
 		j.delayedAt = earliest(j.delayedAt, l.Time)
 	case "held back":
 		j.heldBackAt = earliest(j.heldBackAt, l.Time)
+	case "last attempt waits":
+		// A job may wait again after further failures.
+		j.failureWaitAt = l.Time
 	}
 }
 
--- a/internal/process/timeline/stages.go
+++ b/internal/process/timeline/stages.go
@@ -25,6 +25,8 @@
 	CauseRoom Cause = "no room"
 	// CauseHeldBack means that room was kept for more urgent jobs.
 	CauseHeldBack Cause = "held back"
+	// CauseFailures means that the last attempt waited for workers on which the task had not failed.
+	CauseFailures Cause = "failed before"
 	// CauseDecision means that a decision was due, and none of the other causes is known.
 	CauseDecision Cause = "decision"
 	// CauseOrder means that the agents took that long to start the run.
@@ -121,6 +123,8 @@
 		return CauseOutage
 	case within(j.heldBackAt):
 		return CauseHeldBack
+	case within(j.failureWaitAt):
+		return CauseFailures
 	case within(j.delayedAt):
 		return CauseRoom
 	}
