allocation: the exclusion of failed workers from a last attempt ends

Cause: the last attempt of a unit excluded the workers on which it had failed whenever it would fit on the others if these were empty. What ran on the others was not looked at, here tasks that last and may not be preempted, and the exclusion had no end in time.

Change: the exclusion lasts two seconds from the latest failure. Beyond that it lasts only while half of the capacity or more is in use, waiting is worthwhile, and the unit would fit on others once all runs there have ended that end by themselves or that it may preempt.

Why it works: each of the conditions ends. Where less than half is in use, the wait is below the three seconds that the rule allows, whatever runs elsewhere; where more is, it ends with the benefit of the job at the latest.

--- a/internal/process/allocation/failures.go
+++ b/internal/process/allocation/failures.go
@@ -50,18 +50,40 @@
 // exceeds the sum of all other costs, so that such workers are chosen last.
 const failedWorkerCost = 10.0
 
+// lastAttemptDelay is how long after its latest failure the last attempt of a unit waits at most for other workers while
+// less than minUsedShare is in use. By the platform's rules, a job may then have nothing running for three seconds; the
+// rest is for recording the failure and the placement.
+const lastAttemptDelay = 2 * time.Second
+
 // setFailedWorkers sets failedOn and excludesFailed of the unit. A faulty worker fails every
 // task that it gets, so the workers on which the unit has failed are excluded for its last
-// attempt, unless the unit would not fit on the other workers even if these were empty.
+// attempt, as long as it should wait for others.
 func (p *plan) setFailedWorkers(u *unit) {
 	u.failedOn = p.History.failures[failureKey(u.job, u.members[0])]
 	if len(u.failedOn) == 0 || u.job.Failures(u.members[0])+1 < u.job.Attempts {
 		return
 	}
 	u.excludesFailed = true
-	if pack(u, p.hosts, capacityWhenEmpty) == nil {
-		u.excludesFailed = false
+	u.excludesFailed = p.awaitsOtherWorkers(u)
+}
+
+// awaitsOtherWorkers reports whether the last attempt of a unit that excludes the workers on which it has failed still waits
+// for others that are large enough. It does so for lastAttemptDelay, since the fault may be over by then. Where many workers
+// are busy, it waits for those that become free as long as that is worthwhile.
+func (p *plan) awaitsOtherWorkers(u *unit) bool {
+	if p.sinceFailure(u) < lastAttemptDelay {
+		return pack(u, p.hosts, capacityWhenEmpty) != nil
 	}
+	return p.usedShare(u.job.Service) >= minUsedShare && p.worthWaiting(u) && pack(u, p.hosts, p.attainableCapacity(u)) != nil
+}
+
+// sinceFailure returns the time since the latest failure of the unit, which must have failed.
+func (p *plan) sinceFailure(u *unit) time.Duration {
+	latest := time.Duration(math.MinInt64)
+	for _, failedAt := range u.failedOn {
+		latest = max(latest, failedAt)
+	}
+	return p.Now - latest
 }
 
 // FailureWait is an occurrence with a unit whose last attempt waits, although it would fit on workers on
@@ -93,12 +115,8 @@
 	if p.findAssignments(&anywhere, capacityNow) == nil {
 		return
 	}
-	sinceFailure := time.Duration(math.MaxInt64)
-	for _, failedAt := range u.failedOn {
-		sinceFailure = min(sinceFailure, p.Now-failedAt)
-	}
 	p.decision.FailureWaits = append(p.decision.FailureWaits, FailureWait{
 		Job: u.job.ID, Occurrence: step.Occurrence, Failures: u.job.Failures(u.members[0]), Attempts: u.job.Attempts,
-		FailedWorkers: len(u.failedOn), SinceFailure: sinceFailure,
+		FailedWorkers: len(u.failedOn), SinceFailure: p.sinceFailure(u),
 	})
 }
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -32,6 +32,8 @@
 	// free includes the cores of fillers, since fillers reserve none.
 	hasLatencySensitive, hasFiller bool
 	idleCores                      millicores
+	// lasting are the long-running tasks on the host that are not being stopped.
+	lasting []lastingRun
 	// probation is a job of which an implicated task was placed here recently; empty if there is none.
 	probation workload.JobID
 	// starting are jobs of which a run was placed here within settlingTime, isolated the one of them whose
@@ -42,6 +44,14 @@
 	placed map[workload.StepRef]int
 }
 
+// lastingRun is a long-running task on a host. Without a stop, its capacity does not become free.
+type lastingRun struct {
+	task        workload.TaskRef
+	reservation workload.Resources
+	tier        tier
+	priority    int
+}
+
 // rackKey identifies a rack of one service's workers.
 type rackKey struct {
 	service bundle.ServiceName
@@ -107,6 +117,9 @@
 			h.afterStops = h.afterStops.Plus(p.reservation(r))
 			p.stopping[r] = true
 		}
+		if step.LongRunning && !p.stopping[r] {
+			h.lasting = append(h.lasting, lastingRun{r, p.reservation(r), p.tierOf(j), j.Priority})
+		}
 	}
 	return h
 }
@@ -136,6 +149,9 @@
 	first := u.members[0]
 	h.placed[first.StepRef()] += count
 	h.idleCores -= u.total(count).Cores
+	if u.step.LongRunning {
+		h.lasting = append(h.lasting, lastingRun{first, u.total(count), u.rank.tier, u.job.Priority})
+	}
 	h.addTasks(u.step, count)
 	h.starting = append(h.starting, u.job.ID)
 	if u.implicated {
@@ -164,6 +180,20 @@
 // capacityWhenEmpty returns the capacity that the worker has without any tasks.
 func capacityWhenEmpty(h *host) workload.Resources { return h.worker.Room }
 
+// attainableCapacity returns the capacity that a host has for the unit once all other runs have ended that do not last
+// for ever or that the unit may preempt.
+func (p *plan) attainableCapacity(u *unit) capacityFunc {
+	return func(h *host) workload.Resources {
+		capacity := h.worker.Room
+		for _, l := range h.lasting {
+			if !p.stopping[l.task] && !(u.mayPreempt() && u.outranks(l.tier, l.priority)) {
+				capacity = capacity.Minus(l.reservation)
+			}
+		}
+		return capacity
+	}
+}
+
 // maxMembers returns how many members of the unit, at most all of them, may start on the free
 // capacity of the host. It returns 0 if the unit may not run on the host.
 func (h *host) maxMembers(u *unit, capacity capacityFunc) int {
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -83,7 +83,12 @@
 
 // mayStop reports whether the unit may preempt the run.
 func (p *plan) mayStop(u *unit, v *victim) bool {
-	return !p.stopping[v.task] && v.tier > u.rank.tier && (v.priority > 0 || u.rank.tier == tierGuaranteed)
+	return !p.stopping[v.task] && u.outranks(v.tier, v.priority)
+}
+
+// outranks reports whether the unit, if it may preempt at all, may preempt runs of the tier and priority.
+func (u *unit) outranks(other tier, priority int) bool {
+	return other > u.rank.tier && (priority > 0 || u.rank.tier == tierGuaranteed)
 }
 
 // runsByLoss returns the runs on the host that were not being stopped when it was first called, the
