allocation: tasks that last have no last attempt

Failures of long-running tasks are not counted, so that with one attempt each of their runs looked like the last one.

Change: long-running tasks exclude no worker; a worker on which they failed still costs more than the others.

Measured: the test passes; the package's other tests pass unchanged.

--- a/internal/process/allocation/failures.go
+++ b/internal/process/allocation/failures.go
@@ -57,10 +57,10 @@
 
 // setFailedWorkers sets failedOn and excludesFailed of the unit. A faulty worker fails every
 // task that it gets, so the workers on which the unit has failed are excluded for its last
-// attempt, as long as it should wait for others.
+// attempt, as long as it should wait for others. Long-running tasks have no last attempt.
 func (p *plan) setFailedWorkers(u *unit) {
 	u.failedOn = p.History.failures[failureKey(u.job, u.members[0])]
-	if len(u.failedOn) == 0 || u.job.Failures(u.members[0])+1 < u.job.Attempts {
+	if len(u.failedOn) == 0 || u.step.LongRunning || u.job.Failures(u.members[0])+1 < u.job.Attempts {
 		return
 	}
 	u.excludesFailed = true
--- a/internal/process/allocation/failures_test.go
+++ b/internal/process/allocation/failures_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// A task that lasts has no last attempt, however many its queue allows. It must be restarted where it failed if there is
+// no room elsewhere.
+func TestTaskThatLastsIsRestartedWhereItFailed(t *testing.T) {
+	f := newFixture(t, 12, 8)
+	f.occupy("worker0")
+	f.occupy("worker1")
+	s := lasting(step(1, 4, 0))
+	s.Label = "rack0"
+	f.mustApply(workload.Record{Submit: &workload.Submit{Spec: workload.JobSpec{
+		ID: "job", Queue: "queue1", Organisation: "org", Service: "service", Priority: 1, Attempts: 1, Stretch: 2, Steps: []workload.StepSpec{s},
+	}}})
+	for range 3 {
+		f.untilRunning("job", idleLimit)
+		f.now += time.Second
+		f.fail("job")
+		if wait := f.untilRunning("job", idleLimit); wait > 0 {
+			t.Fatalf("the task that lasts was not restarted at once, but after %v", wait)
+		}
+	}
+}
+
 // A job fails wherever it runs, until one attempt is left, beside tasks that last or take long. It must not have nothing
 // running for idleLimit while there is room for it twice over and less than half of the capacity is in use.
 func TestLastAttemptStartsWhileThereIsRoom(t *testing.T) {
