allocation: a rack full of tasks that last is not waited for

Evidence, with only assignments.go and preempt.go as before: TestJobDoesNotWaitForRackFullOfTasksThatLast: started after 6m0s (near data) and 11m0s (one rack), want less than 3s. TestGuaranteedJobPreemptsOnOtherRacks: no stops, no runs. TestJobPreemptsOnRackOfItsData passes before and after.

Change: all three use the capacity that is attainable for the unit: that of the worker less the tasks that last and that it may not preempt.

Why it works: a rack counts only if the unit can get it by waiting or preempting.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -30,14 +30,14 @@
 }
 
 // findNearData returns allowed hosts on the rack of the unit's data. It returns hosts on other racks only
-// if the unit would not fit on that rack even with empty workers, or if waiting for that rack is
-// worse than running on another one. It returns nil if the unit must wait.
+// if the unit would not fit on that rack even once all runs that it may wait for or preempt have ended, or if
+// waiting for that rack is worse than running on another one. It returns nil if the unit must wait.
 func (p *plan) findNearData(u *unit, allowed []*host, capacity capacityFunc) []assignment {
 	nearHosts := p.racks[rackKey{u.job.Service, u.step.Rack}]
 	if assignments := pack(u, p.keepAllowed(nearHosts, allowed), capacity); assignments != nil {
 		return assignments
 	}
-	if pack(u, nearHosts, capacityWhenEmpty) != nil && p.worthWaiting(u) {
+	if p.worthWaiting(u) && pack(u, nearHosts, p.attainableCapacity(u)) != nil {
 		return nil
 	}
 	return pack(u, allowed, capacity)
@@ -45,15 +45,15 @@
 
 // findOnOneRack returns allowed hosts for a gang on the rack with the fewest free accelerators among
 // those with enough capacity. It spreads the gang over racks only if no single rack could take
-// the gang even with empty workers, or if waiting for one rack is worse than running on
-// several. It returns nil if the gang must wait.
+// the gang even once all runs that it may wait for or preempt have ended, or if waiting for one rack is worse than
+// running on several. It returns nil if the gang must wait.
 func (p *plan) findOnOneRack(u *unit, allowed []*host, capacity capacityFunc) []assignment {
 	var best []assignment
 	bestFree := -1
 	fitsOneRack := false
 	for _, key := range p.serviceRacks(u) {
 		hosts := p.racks[key]
-		if pack(u, hosts, capacityWhenEmpty) != nil {
+		if pack(u, hosts, p.attainableCapacity(u)) != nil {
 			fitsOneRack = true
 		}
 		assignments := pack(u, p.keepAllowed(hosts, allowed), capacity)
--- a/internal/process/allocation/preempt.go
+++ b/internal/process/allocation/preempt.go
@@ -60,17 +60,18 @@
 
 // hostGroups returns the sets of hosts on which the whole unit may be placed: the rack of its
 // data, each single rack for a gang that wants one rack, or all hosts. It leaves out a rack if
-// the unit would not fit there even on empty workers; if no rack remains, it returns all hosts.
+// the unit would not fit there even once all runs that it may wait for or preempt have ended; if no rack remains,
+// it returns all hosts.
 func (p *plan) hostGroups(u *unit) [][]*host {
 	if u.step.Rack != "" {
-		if near := p.racks[rackKey{u.job.Service, u.step.Rack}]; pack(u, near, capacityWhenEmpty) != nil {
+		if near := p.racks[rackKey{u.job.Service, u.step.Rack}]; pack(u, near, p.attainableCapacity(u)) != nil {
 			return [][]*host{near}
 		}
 	}
 	if u.step.SameRack && len(u.members) > 1 {
 		var groups [][]*host
 		for _, key := range p.serviceRacks(u) {
-			if pack(u, p.racks[key], capacityWhenEmpty) != nil {
+			if pack(u, p.racks[key], p.attainableCapacity(u)) != nil {
 				groups = append(groups, p.racks[key])
 			}
 		}
