allocation: a job that is old enough does not wait beside idle racks

What callers would see: a job whose rack of data is full of long runs, or a gang that wants one rack, has nothing running while a third of the capacity is in use, for as long as its objective has not passed.

It was found by TestJobStartsOnIdleRack- WhileItsRackIsBusy (rapid): a gang of three beside six idle workers.

Change: Rules.FinishTime, from the platform's finish_s; 0 means no limit. A job that is older, has had nothing running for two seconds and finds less than half of the capacity in use takes what fits. No job is older than FinishTime before the rule begins, so that younger jobs go on waiting for their racks: they take several times as long elsewhere.

--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -17,6 +17,9 @@
 	CheckpointInterval time.Duration
 	// EarlyStart is how long before its due time an occurrence may start.
 	EarlyStart time.Duration
+	// FinishTime is how long after its submission a job may have nothing running, while there is room for it,
+	// in order to run near its data or on one rack; 0 means no limit.
+	FinishTime time.Duration
 }
 
 // Input is everything that a decision depends on. Decide changes none of it, except for medians
--- a/internal/process/allocation/decide_test.go
+++ b/internal/process/allocation/decide_test.go
@@ -31,6 +31,9 @@
 
 const leader incarnation.ID = "leader"
 
+// finishTime is the FinishTime of the decisions' rules.
+const finishTime = 14 * time.Second
+
 // newFixture returns a fixture with a leader of term 1 and the given number of equal workers,
 // three to a rack.
 func newFixture(t testing.TB, workers, accelerators int) *fixture {
@@ -81,7 +84,7 @@
 	f.t.Helper()
 	f.history.Update(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
 	d := allocation.Decide(allocation.Input{
-		State: f.state, History: &f.history, Now: f.now, Bundle: f.bundle, Rules: allocation.Rules{FarFactor: 3}, UndecidedStops: f.undecidedStops,
+		State: f.state, History: &f.history, Now: f.now, Bundle: f.bundle, Rules: allocation.Rules{FarFactor: 3, FinishTime: finishTime}, UndecidedStops: f.undecidedStops,
 	})
 	for _, s := range d.Stops {
 		s.Term = 1
--- a/internal/process/allocation/full_racks_test.go
+++ b/internal/process/allocation/full_racks_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"corianderpass/internal/process/workload"
 	"corianderpass/internal/version/bundle"
 )
@@ -91,3 +93,66 @@
 		t.Errorf("got %d stops and %d placements, want one stop", len(d.Stops), len(d.Places))
 	}
 }
+
+// The rack of a job's data, or each rack that is large enough for its gang, is full of runs that take long. From finishTime
+// on, the job must not have nothing running for idleLimit while there is room for it twice over and less than half of the
+// capacity is in use.
+func TestJobStartsOnIdleRackWhileItsRackIsBusy(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := newFixture(t, rapid.IntRange(4, 12).Draw(rt, "workers"), 8)
+		s := rapid.SampledFrom([]workload.StepSpec{nearData(), oneRack()}).Draw(rt, "step")
+		busyRacks := map[string]bool{}
+		for _, life := range f.lives() {
+			rack := f.state.Worker(life).Labels[1]
+			// All workers of the rack of the data are busy, or one of each rack.
+			busy := s.Rack != "" && rack == "rack0" || s.SameRack && !busyRacks[rack]
+			busyRacks[rack] = true
+			if busy || rapid.IntRange(0, 5).Draw(rt, "busy "+string(life)) == 5 {
+				run := step(1, 8, rapid.SampledFrom([]time.Duration{time.Second, 10 * time.Second, time.Minute}).Draw(rt, "estimate on "+string(life)))
+				run.Label = rack
+				f.submit("run on "+string(life), rapid.IntRange(0, 2).Draw(rt, "priority on "+string(life)), run)
+			}
+		}
+		f.decide()
+		s.Tasks = rapid.IntRange(1, 3).Draw(rt, "tasks")
+		s.Need.Accelerators = rapid.SampledFrom([]int{1, 4, 8}).Draw(rt, "accelerators")
+		s.Estimate = rapid.SampledFrom([]time.Duration{time.Second, 10 * time.Second, time.Minute}).Draw(rt, "estimate")
+		f.submit("job", rapid.IntRange(0, 2).Draw(rt, "priority"), s)
+		submittedAt, idle := f.now, time.Duration(0)
+		for range 200 {
+			f.decide()
+			f.endStopping()
+			f.decide()
+			if f.running("job") > 0 {
+				return
+			}
+			idle += tick
+			if !f.hasRoomTwice("job") || f.now-submittedAt < finishTime {
+				idle = 0
+			}
+			if idle > idleLimit {
+				rt.Fatalf("the job had no run for %v, %v after its submission", idle, f.now-submittedAt)
+			}
+			f.now += tick
+		}
+	})
+}
+
+// The rack of a job's data is full of runs that take long. The job waits for it, since it takes several times as long on
+// the other racks. It must not do so for longer than jobs may take to end, unless half of the capacity is in use.
+func TestWaitForRackOfDataEnds(t *testing.T) {
+	for _, c := range []struct {
+		busy        int
+		least, most time.Duration
+	}{{3, finishTime, finishTime + idleLimit}, {5, 30 * time.Second, 30 * time.Second}} {
+		f := newFixture(t, 9, 8)
+		for _, life := range f.lives()[:c.busy] {
+			f.submit("run on "+string(life), 1, step(1, 8, time.Minute))
+			f.decide()
+		}
+		f.submit("job", 1, nearData())
+		if wait := f.untilRunning("job", 30*time.Second); wait < c.least || wait > c.most {
+			t.Errorf("%d workers busy: the job started after %v, want between %v and %v", c.busy, wait, c.least, c.most)
+		}
+	}
+}
--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -25,6 +25,8 @@
 	// jobs has the time at which Update first found each open job. For a job that the first
 	// Update found, it is the time of submission instead.
 	jobs map[workload.JobID]time.Duration
+	// busyAt has the time of the last Update that found a run of each open job that has had one.
+	busyAt map[workload.JobID]time.Duration
 	// arrivals are the jobs submitted within the last demandWindow.
 	arrivals []arrival
 	// runs has the current run of each task that has one, workers all workers in the state, and
@@ -203,6 +205,7 @@
 	}
 	if first {
 		h.jobs = map[workload.JobID]time.Duration{}
+		h.busyAt = map[workload.JobID]time.Duration{}
 		h.runs = map[workload.TaskRef]runHistory{}
 		h.workers = map[workload.LifeID]*workerHistory{}
 		h.durationModels = map[bundle.QueueName]*durationModel{}
@@ -226,6 +229,7 @@
 	for id := range h.jobs {
 		if j := s.Job(id); j == nil || !j.Open() {
 			delete(h.jobs, id)
+			delete(h.busyAt, id)
 		}
 	}
 	h.pruneArrivals(now)
@@ -237,6 +241,9 @@
 func (h *History) updateRuns(s *workload.State, now time.Duration, age func(int64) time.Duration) {
 	for id, w := range s.Workers() {
 		for r, run := range w.Runs {
+			if _, open := h.jobs[r.Job]; open {
+				h.busyAt[r.Job] = now
+			}
 			if h.runs[r].run != run {
 				_, _, t, _ := s.Task(r)
 				h.runs[r] = runHistory{run: run, worker: id, startedAt: now - age(t.Since), resumed: t.Saved != ""}
@@ -318,6 +325,15 @@
 	return 0
 }
 
+// JobIdle returns the time since an Update last found a run of the job, or its age if none did. It returns 0 for a job that
+// is not known or has ended.
+func (h *History) JobIdle(id workload.JobID, now time.Duration) time.Duration {
+	if at, known := h.busyAt[id]; known {
+		return now - at
+	}
+	return h.JobAge(id, now)
+}
+
 // Elapsed returns how long the current run of a task has been running, 0 if the task has no
 // known run.
 func (h *History) Elapsed(r workload.TaskRef, now time.Duration) time.Duration {
--- a/internal/process/command/platform.go
+++ b/internal/process/command/platform.go
@@ -220,6 +220,7 @@
 	return scheduler.Settings{
 		Allocation: allocation.Rules{
 			FarFactor: s.Bounds.FarFactor, CheckpointInterval: s.Bounds.CheckpointInterval, EarlyStart: s.Bounds.MaxEarlyStart / 2,
+			FinishTime: s.Bounds.FinishTime,
 		},
 		SuspectAfter: suspectAfter,
 		LapseAfter:   leaseDuration(s) + lapseMargin,
