allocation: no capacity is reserved until a task that lasts ends

The end of a long-running task counted like any other expected end, 1,000 hours from now.

TestGangThatWaitsForTaskThatLastsReservesNothing without the change: "a small job did not start beside an urgent gang".

Change: earliestStart leaves out the ends of long-running tasks, so that a unit that depends on them reserves nothing and looks for runs to preempt at once.

--- a/internal/process/allocation/reserve.go
+++ b/internal/process/allocation/reserve.go
@@ -20,7 +20,7 @@
 }
 
 // earliestStart returns the hosts on which the unit is expected to fit earliest as running tasks
-// end, and the time from now until then. It returns nil if the unit fits nowhere.
+// end, and the time from now until then. It returns nil if the unit fits nowhere, or only once long-running tasks end.
 func (p *plan) earliestStart(u *unit) ([]assignment, time.Duration) {
 	var best []assignment
 	wait := time.Duration(0)
@@ -81,7 +81,7 @@
 	}
 	for _, e := range p.expectedEnds() {
 		before, searched := members[e.host]
-		if !searched || p.stopping[e.task] {
+		if !searched || p.stopping[e.task] || e.after >= longRunningRemaining {
 			continue
 		}
 		capacities[e.host] = capacities[e.host].Plus(e.reservation)
