allocation: quarantine does not keep an idling job waiting for ever

Only a success on the worker ends its quarantine. Until then it takes one task as a test, so that a gang with more members than workers never fits, and none while anything runs there, which long-running tasks do for ever.

Change: a unit that fits nowhere else, has had nothing running for two seconds and finds less than half of the capacity in use takes workers under test like others. Within the quarantine itself only long-running tasks and jobs older than FinishTime do. Permits are asked for these workers too. The leader logs each use (place in spite of quarantine).

Why it works: the limits of the rule end the wait, not the history of a worker; while there is room elsewhere or much is in use, the protection is as before.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"corianderpass/internal/process/workload"
 	"corianderpass/pkg/platform"
@@ -77,20 +76,9 @@
 
 // worthWaiting reports whether the unit should wait for capacity near its data or on one rack
 // rather than take several times as long elsewhere. It should until it is late by its expected
-// duration, unless its job has idled for too long.
+// duration, unless it has idled for too long.
 func (p *plan) worthWaiting(u *unit) bool {
-	return u.rank.slack > -u.duration && !p.hasIdled(u.job)
-}
-
-// maxIdleTime is how long a job that is older than Rules.FinishTime waits for a better rack while less than minUsedShare is
-// in use. By the platform's rules, it may then have nothing running for three seconds.
-const maxIdleTime = 2 * time.Second
-
-// hasIdled reports whether the job is older than Rules.FinishTime and has had nothing running for maxIdleTime, while less
-// than minUsedShare is in use.
-func (p *plan) hasIdled(j *workload.Job) bool {
-	return p.Rules.FinishTime > 0 && p.History.JobAge(j.ID, p.Now) > p.Rules.FinishTime &&
-		p.History.JobIdle(j.ID, p.Now) > maxIdleTime && p.usedShare(j.Service) < minUsedShare
+	return u.rank.slack > -u.duration && !p.hasIdled(u)
 }
 
 // serviceRacks returns the racks of the unit's service, sorted by rack.
--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -53,13 +53,15 @@
 	// FailureWaits are the occurrences whose last attempt waits for workers on which it has not failed, in the
 	// order of their ranks.
 	FailureWaits []FailureWait
+	// QuarantineUses are the units placed on workers in spite of their quarantine, in the order of their ranks.
+	QuarantineUses []QuarantineUse
 	// PermitQueries are the queries to the adviser whose answers may allow more placements, the
 	// most urgent first.
 	PermitQueries []permit.Query
 }
 
 // Empty reports whether there is nothing to propose. It ignores Delays, HeldBack,
-// FailureWaits and PermitQueries.
+// FailureWaits, QuarantineUses and PermitQueries.
 func (d Decision) Empty() bool { return len(d.Places)+len(d.Stops) == 0 }
 
 // Decide returns the runs to start and to stop now. It places the waiting units in order of
@@ -84,10 +86,12 @@
 type plan struct {
 	Input
 	// hosts are the workers that can take tasks, sorted by life. hostsByLife has the same hosts by
-	// life, racks by service and rack.
-	hosts       []*host
-	hostsByLife map[workload.LifeID]*host
-	racks       map[rackKey][]*host
+	// life, racks by service and rack. excludedHosts are the workers that take none only because they are
+	// quarantined or run a trial task.
+	hosts         []*host
+	excludedHosts []*host
+	hostsByLife   map[workload.LifeID]*host
+	racks         map[rackKey][]*host
 	// stopping holds the tasks whose run is being stopped, by this round or an earlier one, or may be by an
 	// undecided stop.
 	stopping map[workload.TaskRef]bool
@@ -130,6 +134,9 @@
 			return false
 		}
 	}
+	if p.placeInQuarantine(u) {
+		return true
+	}
 	if u.rank.tier <= tierUrgent && u.rank.outlook != outlookMissed {
 		p.reserveEarliest(u)
 	}
--- a/internal/process/allocation/history.go
+++ b/internal/process/allocation/history.go
@@ -27,6 +27,9 @@
 	jobs map[workload.JobID]time.Duration
 	// busyAt has the time of the last Update that found a run of each open job that has had one.
 	busyAt map[workload.JobID]time.Duration
+	// idleSince has the time of the Update that found that the run of a long-running task had ended, for the tasks of
+	// open jobs that have no run since.
+	idleSince map[workload.TaskRef]time.Duration
 	// arrivals are the jobs submitted within the last demandWindow.
 	arrivals []arrival
 	// runs has the current run of each task that has one, workers all workers in the state, and
@@ -206,6 +209,7 @@
 	if first {
 		h.jobs = map[workload.JobID]time.Duration{}
 		h.busyAt = map[workload.JobID]time.Duration{}
+		h.idleSince = map[workload.TaskRef]time.Duration{}
 		h.runs = map[workload.TaskRef]runHistory{}
 		h.workers = map[workload.LifeID]*workerHistory{}
 		h.durationModels = map[bundle.QueueName]*durationModel{}
@@ -244,6 +248,7 @@
 			if _, open := h.jobs[r.Job]; open {
 				h.busyAt[r.Job] = now
 			}
+			delete(h.idleSince, r)
 			if h.runs[r].run != run {
 				_, _, t, _ := s.Task(r)
 				h.runs[r] = runHistory{run: run, worker: id, startedAt: now - age(t.Since), resumed: t.Saved != ""}
@@ -251,8 +256,18 @@
 		}
 	}
 	for r, observed := range h.runs {
-		if _, _, t, known := s.Task(r); !known || t.Worker == "" || t.Run != observed.run {
-			delete(h.runs, r)
+		j, _, t, known := s.Task(r)
+		if known && t.Worker != "" && t.Run == observed.run {
+			continue
+		}
+		delete(h.runs, r)
+		if known && t.Worker == "" && j.Steps[r.Step].LongRunning {
+			h.idleSince[r] = now
+		}
+	}
+	for r := range h.idleSince {
+		if j := s.Job(r.Job); j == nil || !j.Open() {
+			delete(h.idleSince, r)
 		}
 	}
 }
@@ -334,6 +349,15 @@
 	return h.JobAge(id, now)
 }
 
+// TaskIdle returns the time since an Update found that the run of a long-running task had ended. For a task that has not run
+// since its job became known, it is the age of the job.
+func (h *History) TaskIdle(r workload.TaskRef, now time.Duration) time.Duration {
+	if at, known := h.idleSince[r]; known {
+		return now - at
+	}
+	return h.JobAge(r.Job, now)
+}
+
 // Elapsed returns how long the current run of a task has been running, 0 if the task has no
 // known run.
 func (h *History) Elapsed(r workload.TaskRef, now time.Duration) time.Duration {
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -24,6 +24,8 @@
 	afterStops workload.Resources
 	// trialOnly hosts accept a single task, as a test after quarantine.
 	trialOnly bool
+	// quarantined hosts accept no task yet.
+	quarantined bool
 	// maxPriority is the highest priority number of the runs on the host, -1 without runs.
 	// Long-running tasks are not counted.
 	maxPriority int
@@ -58,7 +60,7 @@
 	rack    platform.RackID
 }
 
-// newPlan returns the plan of a round. Its hosts are all workers that accept tasks.
+// newPlan returns the plan of a round.
 func newPlan(in Input) *plan {
 	p := &plan{
 		Input:             in,
@@ -79,12 +81,19 @@
 		if !w.Gone && !in.State.IsEvacuated(w) {
 			p.serviceCapacities[w.Service] = p.serviceCapacities[w.Service].Plus(w.Room)
 		}
-		if h := p.newHost(w); h != nil {
+		h := p.newHost(w)
+		switch {
+		case h == nil:
+		case h.quarantined || h.trialOnly && len(w.Runs) > 0:
+			p.excludedHosts = append(p.excludedHosts, h)
+		default:
 			p.hosts = append(p.hosts, h)
 			p.hostsByLife[w.Life] = h
 		}
 	}
-	slices.SortFunc(p.hosts, func(a, b *host) int { return cmp.Compare(a.worker.Life, b.worker.Life) })
+	for _, hosts := range [][]*host{p.hosts, p.excludedHosts} {
+		slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.worker.Life, b.worker.Life) })
+	}
 	for _, h := range p.hosts {
 		key := rackKey{h.worker.Service, h.worker.Rack}
 		p.racks[key] = append(p.racks[key], h)
@@ -93,16 +102,16 @@
 }
 
 // newHost returns the worker as a host, nil if the worker accepts no tasks because it is
-// unusable, slow or quarantined, its failure domain is evacuated, or its trial task is still running.
+// unusable or slow, or its failure domain is evacuated.
 func (p *plan) newHost(w *workload.Worker) *host {
 	if !w.Usable() || p.State.IsEvacuated(w) {
 		return nil
 	}
 	accepting, trialOnly := p.History.acceptance(w, p.Now)
-	if p.History.isSlow(w) || !accepting || trialOnly && len(w.Runs) > 0 {
+	if p.History.isSlow(w) {
 		return nil
 	}
-	h := &host{worker: w, free: w.Free(), trialOnly: trialOnly, maxPriority: -1, placed: map[workload.StepRef]int{}}
+	h := &host{worker: w, free: w.Free(), trialOnly: trialOnly, quarantined: !accepting, maxPriority: -1, placed: map[workload.StepRef]int{}}
 	h.afterStops = h.free
 	h.idleCores = h.free.Cores
 	for r := range w.Runs {
@@ -206,7 +215,7 @@
 		running := h.worker.CountRuns(first.Job, first.Occurrence, first.Step) + h.placed[first.StepRef()]
 		n = min(n, u.step.PerWorker-running)
 	}
-	if h.trialOnly {
+	if h.trialOnly && !u.ignoresQuarantine {
 		n = min(n, 1)
 	}
 	return max(n, 0)
--- a/internal/process/allocation/permits.go
+++ b/internal/process/allocation/permits.go
@@ -26,7 +26,7 @@
 	if p.Permits == nil {
 		return
 	}
-	for _, h := range p.hosts {
+	for _, h := range slices.Concat(p.hosts, p.excludedHosts) {
 		if granted, ok := p.Permits.Lookup(u.members[0].StepRef(), h.worker.Life); ok {
 			u.permits[h.worker.Life] = granted
 		}
@@ -50,8 +50,12 @@
 	if u.permits == nil || p.Permits == nil || slices.ContainsFunc(p.decision.PermitQueries, func(q permit.Query) bool { return q.Step == step }) {
 		return
 	}
+	candidates := p.hosts
+	if p.idlesBesideRoom(u) {
+		candidates = p.hostsInQuarantine(u)
+	}
 	var hosts []*host
-	for _, h := range p.hosts {
+	for _, h := range candidates {
 		if h.worker.Allows(u.job.Service, u.step) && countFitting(u.step.Reservation(), h.worker.Room, 1) > 0 && !p.Permits.Answered(step, h.worker.Life) {
 			hosts = append(hosts, h)
 		}
--- a/internal/process/allocation/unit.go
+++ b/internal/process/allocation/unit.go
@@ -28,6 +28,8 @@
 	// excludesFailed is true, the unit is not placed on them.
 	failedOn       map[workload.LifeID]time.Duration
 	excludesFailed bool
+	// ignoresQuarantine is true if the unit may use workers that are under test after quarantine like others.
+	ignoresQuarantine bool
 	// implicated is true if a member is implicated in a crash.
 	implicated bool
 }
--- a/internal/process/scheduler/decide.go
+++ b/internal/process/scheduler/decide.go
@@ -23,7 +23,8 @@
 		input.Bundle = current.Bundle
 	}
 	decision := allocation.Decide(input)
-	s.delays, s.heldBack, s.failureWaits = decision.Delays, decision.HeldBack, decision.FailureWaits
+	s.delays, s.heldBack = decision.Delays, decision.HeldBack
+	s.failureWaits, s.quarantineUses = decision.FailureWaits, decision.QuarantineUses
 	for i := range decision.Stops {
 		decision.Stops[i].Term = term
 		due = append(due, workload.Record{Stop: &decision.Stops[i]})
--- a/internal/process/scheduler/delays.go
+++ b/internal/process/scheduler/delays.go
@@ -51,3 +51,13 @@
 	}
 	s.loggedFailureWaits.prune(now, minDelayLogInterval)
 }
+
+// maxQuarantineLines is the most log lines on one decision about placements in spite of quarantine.
+const maxQuarantineLines = 8
+
+// logQuarantineUses logs the placements of the last decision on workers in spite of their quarantine.
+func (s *Scheduler) logQuarantineUses() {
+	for _, u := range s.quarantineUses[:min(len(s.quarantineUses), maxQuarantineLines)] {
+		s.logger.Info("place in spite of quarantine", "job", u.Job, "occurrence", u.Occurrence, "workers", u.Workers, "idle_ms", u.Idle.Milliseconds())
+	}
+}
--- a/internal/process/scheduler/scheduler.go
+++ b/internal/process/scheduler/scheduler.go
@@ -116,13 +116,14 @@
 	answers chan answer
 	// lastProposedAt is when this process last proposed a record as leader.
 	lastProposedAt time.Duration
-	// delays, heldBack and failureWaits are those of the last decision. loggedDelays has whether the logged
+	// delays, heldBack, failureWaits and quarantineUses are those of the last decision. loggedDelays has whether the logged
 	// delays were missed, loggedFailureWaits the number of failures.
 	delays             []allocation.Delay
 	loggedDelays       changeFilter[delayKey, bool]
 	heldBack           []allocation.HeldBack
 	loggedHeldBack     changeFilter[delayKey, struct{}]
 	failureWaits       []allocation.FailureWait
+	quarantineUses     []allocation.QuarantineUse
 	loggedFailureWaits changeFilter[delayKey, int]
 }
 
@@ -233,6 +234,7 @@
 		s.logDelays()
 		s.logHeldBack()
 		s.logFailureWaits()
+		s.logQuarantineUses()
 		s.permits.SetQueries(queries)
 		if s.proposeAsLeader(ctx, term, due, queries) {
 			s.lastDecision.Store(&decision{at: s.clock(), offset: offset})
--- a/internal/process/timeline/account.go
+++ b/internal/process/timeline/account.go
@@ -165,7 +165,7 @@
 		if !l.failed() {
 			a.leaderless = endInterval(a.leaderless, l.Time)
 		}
-	case "call", "submit", "job ended", "delayed", "held back", "last attempt waits":
+	case "call", "submit", "job ended", "delayed", "held back", "last attempt waits", "place in spite of quarantine":
 		if j := a.job(l.Job); j != nil {
 			j.add(l)
 			a.addEvent(l, l.Job)
