allocation: work on workers that take no tasks counts as in use

What callers would see: while workers drain, are slow or quarantined, the share of the capacity in use looks smaller than it is. Headroom for urgent jobs is then given up too early, and the limits of idling would begin where the rule does not ask for them (less than half of the service's capacity in use).

Cause: usedShare added up the workers that accept tasks, and divided by the capacity of all.

Evidence: TestWorkOnDrainingWorkersCountsAsInUse fails without the change.

Change: the plan keeps what runs reserve on the other workers. Besides, placeInQuarantine looks at nothing while no worker is quarantined.

Measured: the tests of allocation, scheduler and simulation pass.

--- a/internal/process/allocation/decide.go
+++ b/internal/process/allocation/decide.go
@@ -17,8 +17,8 @@
 	CheckpointInterval time.Duration
 	// EarlyStart is how long before its due time an occurrence may start.
 	EarlyStart time.Duration
-	// FinishTime is how long after its submission a job may have nothing running, while there is room for it,
-	// in order to run near its data or on one rack; 0 means no limit.
+	// FinishTime is how long after its submission a job may wait for a better worker or rack while there is room for
+	// it; 0 means no limit.
 	FinishTime time.Duration
 }
 
@@ -87,9 +87,10 @@
 	Input
 	// hosts are the workers that can take tasks, sorted by life. hostsByLife has the same hosts by
 	// life, racks by service and rack. excludedHosts are the workers that take none only because they are
-	// quarantined or run a trial task.
+	// quarantined or run a trial task. hasQuarantine is true if there are any, or hosts with trialOnly.
 	hosts         []*host
 	excludedHosts []*host
+	hasQuarantine bool
 	hostsByLife   map[workload.LifeID]*host
 	racks         map[rackKey][]*host
 	// stopping holds the tasks whose run is being stopped, by this round or an earlier one, or may be by an
@@ -101,6 +102,8 @@
 	// serviceCapacities is the total capacity of each service's workers, used or not. Workers of
 	// evacuated failure domains do not count.
 	serviceCapacities map[bundle.ServiceName]workload.Resources
+	// usedElsewhere is what runs reserve on those of these workers that are not in hosts.
+	usedElsewhere map[bundle.ServiceName]workload.Resources
 	// forecasts has the open occurrences that may start and have an objective.
 	forecasts map[occurrenceKey]*forecast
 	// headroom is a cache of hostsFor.
--- a/internal/process/allocation/failures.go
+++ b/internal/process/allocation/failures.go
@@ -63,6 +63,7 @@
 	if len(u.failedOn) == 0 || u.step.LongRunning || u.job.Failures(u.members[0])+1 < u.job.Attempts {
 		return
 	}
+	// While excludesFailed is true, pack looks at the other workers only.
 	u.excludesFailed = true
 	u.excludesFailed = p.awaitsOtherWorkers(u)
 }
--- a/internal/process/allocation/headroom.go
+++ b/internal/process/allocation/headroom.go
@@ -121,7 +121,7 @@
 // usedShare returns the share of the service's capacity that runs and reservations take up, of the
 // resource of which they take up most.
 func (p *plan) usedShare(service bundle.ServiceName) float64 {
-	var used workload.Resources
+	used := p.usedElsewhere[service]
 	for _, h := range p.hosts {
 		if h.worker.Service == service {
 			used = used.Plus(h.worker.Room.Minus(h.free))
--- a/internal/process/allocation/headroom_test.go
+++ b/internal/process/allocation/headroom_test.go
@@ -130,3 +130,25 @@
 		t.Error("the job does not run on the idle worker while 1 of 16 accelerators is in use, want it started")
 	}
 }
+
+// Most of the capacity is in use, part of it on workers that drain. The wide job must leave headroom as if these accepted
+// tasks: what runs there is in use all the same.
+func TestWorkOnDrainingWorkersCountsAsInUse(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		f := newFixture(t, 8, 8)
+		for _, life := range f.lives()[:4] {
+			f.occupy(life)
+			if draining {
+				f.mustApply(workload.Record{Report: &workload.Report{Life: life, Draining: true, Remaining: time.Hour}})
+			}
+		}
+		f.submit("batch", 2, step(1, 8, 10*time.Second))
+		f.decide()
+		f.submit("urgent", 0, step(2, 8, 10*time.Second))
+		f.decide()
+		f.submit("wide", 2, step(4, 8, 10*time.Second))
+		if d := f.decide(); len(d.HeldBack) != 1 {
+			t.Errorf("draining %v: got %d jobs held back, want the wide one", draining, len(d.HeldBack))
+		}
+	}
+}
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -69,6 +69,7 @@
 		stopping:          map[workload.TaskRef]bool{},
 		withinGuarantee:   organisationsWithinGuarantee(in.State, in.Bundle),
 		serviceCapacities: map[bundle.ServiceName]workload.Resources{},
+		usedElsewhere:     map[bundle.ServiceName]workload.Resources{},
 	}
 	for _, r := range in.UndecidedStops {
 		if j, step, _, known := in.State.Task(r); known {
@@ -82,13 +83,18 @@
 			p.serviceCapacities[w.Service] = p.serviceCapacities[w.Service].Plus(w.Room)
 		}
 		h := p.newHost(w)
-		switch {
-		case h == nil:
-		case h.quarantined || h.trialOnly && len(w.Runs) > 0:
-			p.excludedHosts = append(p.excludedHosts, h)
-		default:
+		if h != nil && !h.quarantined && (!h.trialOnly || len(w.Runs) == 0) {
 			p.hosts = append(p.hosts, h)
 			p.hostsByLife[w.Life] = h
+			p.hasQuarantine = p.hasQuarantine || h.trialOnly
+			continue
+		}
+		if h != nil {
+			p.excludedHosts = append(p.excludedHosts, h)
+			p.hasQuarantine = true
+		}
+		if !w.Gone && !in.State.IsEvacuated(w) {
+			p.usedElsewhere[w.Service] = p.usedElsewhere[w.Service].Plus(w.Used)
 		}
 	}
 	for _, hosts := range [][]*host{p.hosts, p.excludedHosts} {
--- a/internal/process/allocation/quarantine.go
+++ b/internal/process/allocation/quarantine.go
@@ -21,7 +21,7 @@
 // there and with any number of members, and on those that are still quarantined if it has idled for too long.
 // Otherwise the unit might wait for ever: only a success on such a worker ends its quarantine.
 func (p *plan) placeInQuarantine(u *unit) bool {
-	if !p.idlesBesideRoom(u) || pack(u, p.hosts, capacityNow) != nil {
+	if !p.hasQuarantine || !p.idlesBesideRoom(u) || pack(u, p.hosts, capacityNow) != nil {
 		return false
 	}
 	u.ignoresQuarantine = true
