allocation: isIdle and isOverdue; adding a worker to the plan in one function

Names and comments only: hasIdled and idlesBesideRoom needed explaining, and the loop of newPlan did four things. No behaviour changes; the tests pass unchanged.

--- a/internal/process/allocation/assignments.go
+++ b/internal/process/allocation/assignments.go
@@ -76,9 +76,9 @@
 
 // worthWaiting reports whether the unit should wait for capacity near its data or on one rack
 // rather than take several times as long elsewhere. It should until it is late by its expected
-// duration, unless it has idled for too long.
+// duration, unless it is overdue.
 func (p *plan) worthWaiting(u *unit) bool {
-	return u.rank.slack > -u.duration && !p.hasIdled(u)
+	return u.rank.slack > -u.duration && !p.isOverdue(u)
 }
 
 // serviceRacks returns the racks of the unit's service, sorted by rack.
--- a/internal/process/allocation/host.go
+++ b/internal/process/allocation/host.go
@@ -79,23 +79,7 @@
 		}
 	}
 	for _, w := range in.State.Workers() {
-		if !w.Gone && !in.State.IsEvacuated(w) {
-			p.serviceCapacities[w.Service] = p.serviceCapacities[w.Service].Plus(w.Room)
-		}
-		h := p.newHost(w)
-		if h != nil && !h.quarantined && (!h.trialOnly || len(w.Runs) == 0) {
-			p.hosts = append(p.hosts, h)
-			p.hostsByLife[w.Life] = h
-			p.hasQuarantine = p.hasQuarantine || h.trialOnly
-			continue
-		}
-		if h != nil {
-			p.excludedHosts = append(p.excludedHosts, h)
-			p.hasQuarantine = true
-		}
-		if !w.Gone && !in.State.IsEvacuated(w) {
-			p.usedElsewhere[w.Service] = p.usedElsewhere[w.Service].Plus(w.Used)
-		}
+		p.addWorker(w)
 	}
 	for _, hosts := range [][]*host{p.hosts, p.excludedHosts} {
 		slices.SortFunc(hosts, func(a, b *host) int { return cmp.Compare(a.worker.Life, b.worker.Life) })
@@ -107,6 +91,29 @@
 	return p
 }
 
+// addWorker adds the worker to the capacity of its service, and to hosts or excludedHosts if it accepts tasks.
+func (p *plan) addWorker(w *workload.Worker) {
+	counts := !w.Gone && !p.State.IsEvacuated(w)
+	if counts {
+		p.serviceCapacities[w.Service] = p.serviceCapacities[w.Service].Plus(w.Room)
+	}
+	h := p.newHost(w)
+	switch {
+	case h == nil:
+	case h.quarantined || h.trialOnly && len(w.Runs) > 0:
+		p.excludedHosts = append(p.excludedHosts, h)
+		p.hasQuarantine = true
+	default:
+		p.hosts = append(p.hosts, h)
+		p.hostsByLife[w.Life] = h
+		p.hasQuarantine = p.hasQuarantine || h.trialOnly
+		return
+	}
+	if counts {
+		p.usedElsewhere[w.Service] = p.usedElsewhere[w.Service].Plus(w.Used)
+	}
+}
+
 // newHost returns the worker as a host, nil if the worker accepts no tasks because it is
 // unusable or slow, or its failure domain is evacuated.
 func (p *plan) newHost(w *workload.Worker) *host {
--- a/internal/process/allocation/permits.go
+++ b/internal/process/allocation/permits.go
@@ -51,7 +51,7 @@
 		return
 	}
 	candidates := p.hosts
-	if p.idlesBesideRoom(u) {
+	if p.isIdle(u) {
 		candidates = p.hostsInQuarantine(u)
 	}
 	var hosts []*host
--- a/internal/process/allocation/quarantine.go
+++ b/internal/process/allocation/quarantine.go
@@ -17,11 +17,11 @@
 	Idle time.Duration
 }
 
-// placeInQuarantine places an idling unit that fits nowhere else on workers under test after quarantine, whatever runs
-// there and with any number of members, and on those that are still quarantined if it has idled for too long.
-// Otherwise the unit might wait for ever: only a success on such a worker ends its quarantine.
+// placeInQuarantine places an idle unit that fits nowhere else on workers under test after quarantine, whatever runs
+// there and with any number of members, and on those that are still quarantined if the unit is overdue. Otherwise it might
+// wait for ever: only a success on such a worker ends the quarantine.
 func (p *plan) placeInQuarantine(u *unit) bool {
-	if !p.hasQuarantine || !p.idlesBesideRoom(u) || pack(u, p.hosts, capacityNow) != nil {
+	if !p.hasQuarantine || !p.isIdle(u) || pack(u, p.hosts, capacityNow) != nil {
 		return false
 	}
 	u.ignoresQuarantine = true
@@ -40,11 +40,11 @@
 	return true
 }
 
-// hostsInQuarantine returns all hosts that an idling unit may use, with those that quarantine excludes for others.
+// hostsInQuarantine returns the hosts that an idle unit may use, with those that quarantine excludes for others.
 func (p *plan) hostsInQuarantine(u *unit) []*host {
 	hosts := slices.Clone(p.hosts)
 	for _, h := range p.excludedHosts {
-		if !h.quarantined || p.hasIdled(u) {
+		if !h.quarantined || p.isOverdue(u) {
 			hosts = append(hosts, h)
 		}
 	}
