allocation: a test that a worker under test does not end the wait for a rack; guards

The guard of placeInQuarantine against units that wait for other reasons was no longer covered once it looked for quarantined workers first. Without the guard TestWorkerUnderTestDoesNotEndWaitForRack fails.

--- a/internal/process/allocation/quarantine_test.go
+++ b/internal/process/allocation/quarantine_test.go
@@ -14,10 +14,10 @@
 // quarantineTime is how long a worker takes no task after failures of two jobs.
 const quarantineTime = 4 * time.Second
 
-// quarantineAll makes two jobs fail on every worker in turn, so that all are quarantined.
-func (f *fixture) quarantineAll() {
+// quarantine makes two jobs fail on each of the workers in turn, so that they are quarantined.
+func (f *fixture) quarantine(lives ...workload.LifeID) {
 	f.t.Helper()
-	for _, life := range f.lives() {
+	for _, life := range lives {
 		for _, name := range []string{"first", "second"} {
 			id := workload.JobID(fmt.Sprint(name, " hopeless on ", life))
 			f.submit(string(id), 1, step(1, 1, time.Second))
@@ -33,7 +33,7 @@
 // them although nothing else is there to test them (review/6).
 func TestGangStartsOnWorkersUnderTest(t *testing.T) {
 	f := newFixture(t, 3, 8)
-	f.quarantineAll()
+	f.quarantine(f.lives()...)
 	f.now += quarantineTime
 	s := step(4, 2, 2*time.Second)
 	s.Gang = true
@@ -81,7 +81,7 @@
 	f.submit("lasting", 1, lasting(step(1, 1, 0)))
 	f.decide()
 	f.now += time.Minute
-	f.quarantineAll()
+	f.quarantine(f.lives()...)
 	f.fail("lasting")
 	f.history.Update(f.state, f.now, time.UnixMilli(f.now.Milliseconds()))
 	f.submit("job", 1, step(1, 1, time.Second))
@@ -96,7 +96,7 @@
 // A worker under test takes a single task while there is room elsewhere.
 func TestSoundWorkersAreUsedBeforeThoseUnderTest(t *testing.T) {
 	f := newFixture(t, 1, 8)
-	f.quarantineAll()
+	f.quarantine(f.lives()...)
 	f.now += quarantineTime
 	f.mustApply(workload.Record{Announce: &workload.Announce{
 		Life: "sound", Machine: "sound", Service: "service", Rack: "rack1", Room: workload.Resources{Cores: 64000, Memory: 1000, Accelerators: 8},
@@ -108,6 +108,21 @@
 	}
 }
 
+// A job waits for the rack of its data, which is busy. That a worker elsewhere is under test is no reason to run far from it.
+func TestWorkerUnderTestDoesNotEndWaitForRack(t *testing.T) {
+	f := newFixture(t, 9, 8)
+	f.quarantine("worker8")
+	f.now += quarantineTime
+	s := step(3, 8, time.Minute)
+	s.Label = "rack0"
+	f.submit("others", 1, s)
+	f.decide()
+	f.submit("job", 1, nearData())
+	if wait := f.untilRunning("job", time.Minute); wait < finishTime {
+		t.Errorf("the job started after %v, want %v or more", wait, finishTime)
+	}
+}
+
 // Jobs of all forms fail at random for a while, then nothing fails any more. From finishTime on no job may have nothing running
 // for idleLimit while there is room for it twice over and less than half of the capacity is in use.
 func TestNoJobWaitsForEverAfterFailures(t *testing.T) {
