--- a/review/bed/bed.go
+++ b/review/bed/bed.go
@@ -39,13 +39,13 @@
 	mu        sync.Mutex
 	addresses map[string]string
 	nextPort  int
-	processes map[Machine]*Process
+	processes map[Machine]*process
 	servers   []*http.Server
 	closed    bool
 }
 
-// Process is a process of the project.
-type Process struct {
+// process is a process of the project.
+type process struct {
 	command *exec.Cmd
 	ended   chan error
 }
@@ -98,7 +98,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("bed: create folder: %w", err)
 	}
-	b := &Bed{begun: time.Now(), dir: dir, record: record, addresses: map[string]string{}, processes: map[Machine]*Process{}}
+	b := &Bed{begun: time.Now(), dir: dir, record: record, addresses: map[string]string{}, processes: map[Machine]*process{}}
 	b.ctx, b.cancel = context.WithTimeout(context.Background(), 115*time.Second)
 	b.Store, b.Log = &Store{}, &RunLog{Note: b.Note}
 	b.Note("trouble: %t", Trouble())
@@ -206,21 +206,21 @@
 // StartEntry starts the entry of a machine.
 func (b *Bed) StartEntry(m Machine) error {
 	listen := fmt.Sprintf("front = %q\nreadiness = %q\n", b.Address(string(m)+" front"), b.Address(string(m)+" ready"))
-	return b.start(m, "entry", b.settings, listen, "")
+	return b.start(m, "entry", listen, "")
 }
 
 // StartAgent starts the agent of a machine.
 func (b *Bed) StartAgent(m Machine) error {
 	listen := fmt.Sprintf("control = %q\n", b.Address(string(m)+" control"))
-	return b.start(m, "agent", b.settings, listen, fmt.Sprintf("app = %q\n", b.Address(string(m)+" app")))
+	return b.start(m, "agent", listen, fmt.Sprintf("app = %q\n", b.Address(string(m)+" app")))
 }
 
-func (b *Bed) start(m Machine, role string, settings func(Machine, string, string) string, listen, app string) error {
+func (b *Bed) start(m Machine, role, listen, app string) error {
 	if err := b.serveStore(m); err != nil {
 		return err
 	}
 	path := filepath.Join(b.dir, string(m)+".toml")
-	if err := os.WriteFile(path, []byte(settings(m, listen, app)), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(b.settings(m, listen, app)), 0o600); err != nil {
 		return fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	output := io.Discard
@@ -237,7 +237,7 @@
 	if err := c.Start(); err != nil {
 		return fmt.Errorf("%w: %w", errCannotRun, err)
 	}
-	p := &Process{c, make(chan error, 1)}
+	p := &process{c, make(chan error, 1)}
 	go func() {
 		err := c.Wait()
 		b.Note("%s: process has ended: %v", m, err)
@@ -250,22 +250,13 @@
 	return nil
 }
 
-// Kill ends the process of a machine with SIGKILL.
-func (b *Bed) Kill(m Machine) {
-	b.mu.Lock()
-	p := b.processes[m]
-	delete(b.processes, m)
-	b.mu.Unlock()
-	if p == nil {
-		return
-	}
-	_ = p.command.Process.Kill()
-	<-p.ended
-}
+// Kill ends the process of a machine with SIGKILL, and waits for its end.
+func (b *Bed) Kill(m Machine) { b.end(m, syscall.SIGKILL) }
 
 // Stop ends the process of a machine with SIGTERM, and waits for its end.
-func (b *Bed) Stop(m Machine) {
-	b.Signal(m, syscall.SIGTERM)
+func (b *Bed) Stop(m Machine) { b.end(m, syscall.SIGTERM) }
+
+func (b *Bed) end(m Machine, s syscall.Signal) {
 	b.mu.Lock()
 	p := b.processes[m]
 	delete(b.processes, m)
@@ -273,20 +264,11 @@
 	if p == nil {
 		return
 	}
+	b.Note("%s: signal %v", m, s)
+	_ = p.command.Process.Signal(s)
 	<-p.ended
 }
 
-// Signal sends a signal to the process of a machine.
-func (b *Bed) Signal(m Machine, s syscall.Signal) {
-	b.mu.Lock()
-	p := b.processes[m]
-	b.mu.Unlock()
-	if p != nil {
-		_ = p.command.Process.Signal(s)
-		b.Note("%s: signal %v", m, s)
-	}
-}
-
 // AddMinion serves a minion on the machine and begins its first life.
 func (b *Bed) AddMinion(m *Minion) error {
 	m.Address, m.Log, m.Service = b.Address(string(m.Machine)+" app"), b.Log, "service-a"
--- a/review/bed/caller.go
+++ b/review/bed/caller.go
@@ -37,8 +37,6 @@
 	// AntiAffinity is the largest number of tasks of the step on a minion, 0 for no limit.
 	AntiAffinity int    `json:"anti_affinity,omitempty"`
 	Requires     string `json:"requires,omitempty"`
-	// LongRunning is set for tasks that run until the job is cancelled.
-	LongRunning bool `json:"long_running,omitempty"`
 }
 
 // Job is the body of a call that submits a job.
--- a/review/bed/minion.go
+++ b/review/bed/minion.go
@@ -40,7 +40,6 @@
 	up       bool
 	born     time.Time
 	sequence int
-	draining bool
 	token    uint64
 	leaseEnd int64
 	runs     map[string]*run
@@ -80,7 +79,7 @@
 func (m *Minion) Begin() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.up, m.born, m.sequence, m.draining, m.token, m.leaseEnd = true, time.Now(), 0, false, 0, 0
+	m.up, m.born, m.sequence, m.token, m.leaseEnd = true, time.Now(), 0, 0, 0
 	m.runs, m.newest, m.ends, m.lastEnd = map[string]*run{}, map[string]int{}, nil, 0
 	m.changed = make(chan struct{})
 	m.Log.Note("minion %s of %s begins a life, born %d", m.ID, m.Machine, m.born.UnixMilli())
