Review: late submission starts a job whose cancel was answered 410

The case shows that a job whose cancel was answered 410 at one entry runs when the write of another entry, whose answer was lost, is repeated.

--- a/review/bed/caller.go
+++ b/review/bed/caller.go
@@ -55,11 +55,16 @@
 
 // Call makes a call to the entry of a machine and writes it into the record, except queries that are answered with 200.
 func (b *Bed) Call(entry Machine, method, id string, body any) Answer {
+	return b.CallWithin(3*time.Second, entry, method, id, body)
+}
+
+// CallWithin is Call for a caller that leaves after the time.
+func (b *Bed) CallWithin(patience time.Duration, entry Machine, method, id string, body any) Answer {
 	data, _ := json.Marshal(body)
 	if body == nil {
 		data = nil
 	}
-	ctx, cancel := context.WithTimeout(b.ctx, 3*time.Second)
+	ctx, cancel := context.WithTimeout(b.ctx, patience)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+b.Address(string(entry)+" front")+Queue+id, bytes.NewReader(data))
 	if err != nil {
