--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -132,7 +132,7 @@
 	a := l.announcement
 	ends, partial := len(l.status.Ended), l.status.Partial
 	r.propose(workload.Record{Announce: &workload.Announce{
-		Life: l.id, Machine: a.Machine, Agent: r.self, Address: r.settings.Address, Service: a.Service, FailureDomain: r.settings.FailureDomain,
+		Life: l.id, Machine: a.Machine, Agent: r.self, NextOffset: r.journal.Offset() + 1, Address: r.settings.Address, Service: a.Service, FailureDomain: r.settings.FailureDomain,
 		Rack: a.Rack, Labels: a.Labels, Room: a.Room, Ends: l.status.Ended, Partial: partial, Crashes: l.crashes,
 	}}, func(err error) {
 		l.announcePending = false
@@ -175,7 +175,7 @@
 func (r *Runner) reportChanges(l *minionLife, v view) {
 	if v.suspected && !l.resumePending {
 		l.resumePending = true
-		r.propose(workload.Record{Resume: &workload.Resume{Life: l.id}}, func(err error) {
+		r.propose(workload.Record{Resume: &workload.Resume{Life: l.id, Agent: r.self}}, func(err error) {
 			l.resumePending = false
 			r.logger.Info("suspicion withdrawal proposed", "worker", l.id, "error", err)
 		})
@@ -196,7 +196,7 @@
 		r.logger.Warn("minion answers or not", "worker", l.id, "unresponsive", unresponsive, "unreachable", l.unreachable, "silent_ms", (r.clock() - l.lastAnswerAt).Milliseconds())
 	}
 	report := &workload.Report{
-		Life: l.id, Draining: l.draining, Remaining: l.announcement.Remaining, Unresponsive: unresponsive, Saved: saved,
+		Life: l.id, Agent: r.self, Draining: l.draining, Remaining: l.announcement.Remaining, Unresponsive: unresponsive, Saved: saved,
 		Progress: progress, Crashes: crashes,
 	}
 	if room := l.announcement.Room; room != v.room {
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -92,9 +92,12 @@
 // the machine. Before it proposes the record, the writer must make sure that the machine
 // executes no runs of other lives and no runs that the state does not contain.
 type Announce struct {
-	Life          LifeID
-	Machine       platform.WorkerID
-	Agent         incarnation.ID
+	Life    LifeID
+	Machine platform.WorkerID
+	Agent   incarnation.ID
+	// NextOffset is the first offset of the stream that the writer's copy of the state lacked. The record is
+	// rejected if another agent was announced on the machine there or later. Records of older builds lack it.
+	NextOffset    platform.Offset     `json:",omitempty"`
 	Address       incarnation.Address `json:",omitempty"`
 	Service       bundle.ServiceName
 	FailureDomain platform.FailureDomain
@@ -116,6 +119,8 @@
 // Report updates the condition of a worker and the progress of its runs.
 type Report struct {
 	Life LifeID
+	// Agent is as in Depart.
+	Agent incarnation.ID `json:",omitempty"`
 	// Draining is true once the worker is about to leave. A later false has no effect.
 	Draining bool `json:",omitempty"`
 	// Remaining is the minimum time for which a draining worker still executes runs,
@@ -261,7 +266,11 @@
 }
 
 // Resume withdraws the suspicion of a worker. Only the worker's agent proposes it.
-type Resume struct{ Life LifeID }
+type Resume struct {
+	Life LifeID
+	// Agent is as in Depart.
+	Agent incarnation.ID `json:",omitempty"`
+}
 
 // Lapse ends the life of a suspected worker. The writer must make sure that all leases of
 // the worker have expired.
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -184,7 +184,7 @@
 	case r.Join != nil:
 		return s.join(*r.Join)
 	case r.Announce != nil:
-		return s.announce(*r.Announce)
+		return s.announce(at, *r.Announce)
 	case r.Report != nil:
 		return s.report(*r.Report)
 	case r.Depart != nil:
--- a/internal/process/workload/worker.go
+++ b/internal/process/workload/worker.go
@@ -24,7 +24,9 @@
 	Agent incarnation.ID
 	// Address is where the agent can be notified of new records; empty if it cannot be
 	// notified.
-	Address       incarnation.Address `json:",omitempty"`
+	Address incarnation.Address `json:",omitempty"`
+	// AnnouncedAt is the offset of the newest announcement. Snapshots of older builds lack it.
+	AnnouncedAt   platform.Offset `json:",omitempty"`
 	Service       bundle.ServiceName
 	FailureDomain platform.FailureDomain
 	Rack          platform.RackID `json:",omitempty"`
--- a/internal/process/workload/worker_lifecycle.go
+++ b/internal/process/workload/worker_lifecycle.go
@@ -17,7 +17,10 @@
 	return n
 }
 
-func (s *State) announce(r Announce) error {
+func (s *State) announce(at journal.Position, r Announce) error {
+	if err := s.checkAnnouncer(r); err != nil {
+		return err
+	}
 	w := s.workers[r.Life]
 	if w == nil {
 		w = &Worker{Life: r.Life, Machine: r.Machine, Gone: true}
@@ -33,18 +36,35 @@
 		}
 	}
 	s.recordCrashes(w, r.Crashes)
-	w.Agent, w.Address = r.Agent, r.Address
+	w.Agent, w.Address, w.AnnouncedAt = r.Agent, r.Address, at.Offset
 	w.Service, w.FailureDomain, w.Rack, w.Labels = r.Service, r.FailureDomain, r.Rack, r.Labels
 	w.setRoom(r.Room)
 	w.Suspected, w.Unresponsive, w.Gone = false, false, false
 	return nil
 }
 
+// checkAnnouncer returns ErrFormerAgent if another agent has announced a life on the machine that the writer of the
+// record did not know of: the writer has ended since, and the log carries out its record late.
+func (s *State) checkAnnouncer(r Announce) error {
+	if r.NextOffset == 0 {
+		return nil
+	}
+	for _, w := range s.workers {
+		if w.Machine == r.Machine && w.Agent != r.Agent && w.AnnouncedAt >= r.NextOffset {
+			return fmt.Errorf("%w: agent %s had read the stream up to %d, agent %s announced worker %s at %d", ErrFormerAgent, r.Agent, r.NextOffset-1, w.Agent, w.Life, w.AnnouncedAt)
+		}
+	}
+	return nil
+}
+
 func (s *State) report(r Report) error {
 	w := s.workers[r.Life]
 	if w == nil || w.Gone {
 		return fmt.Errorf("%w: %s", ErrUnknownWorker, r.Life)
 	}
+	if err := w.checkAgent(r.Agent); err != nil {
+		return err
+	}
 	w.Draining = w.Draining || r.Draining
 	w.Remaining = max(w.Remaining, r.Remaining)
 	w.Unresponsive = r.Unresponsive
@@ -116,6 +136,9 @@
 	if !w.Suspected {
 		return fmt.Errorf("%w: worker %s is not suspected", ErrNoChange, r.Life)
 	}
+	if err := w.checkAgent(r.Agent); err != nil {
+		return err
+	}
 	w.Suspected = false
 	return nil
 }
--- a/internal/process/workload/workload_test.go
+++ b/internal/process/workload/workload_test.go
@@ -91,6 +91,31 @@
 	f.wantError(f.apply("third", workload.Record{Depart: &workload.Depart{Life: "w0", Agent: "successor"}}), nil, "departure by an agent that is not announced")
 }
 
+// An agent ends while the log still has to carry out its records. Once its successor is announced, they must not change
+// the life that the successor serves: its tasks would run twice, or its leases would be renewed while it is suspected.
+func TestRecordsOfFormerAgentChangeNoLife(t *testing.T) {
+	for _, life := range []workload.LifeID{"w0", "w0-next"} {
+		f := newFixture(t)
+		announcement := func(life workload.LifeID, agent incarnation.ID, next platform.Offset) workload.Record {
+			return workload.Record{Announce: &workload.Announce{
+				Life: life, Machine: "mw0", Agent: agent, NextOffset: next, Service: "s", Room: workload.Resources{Cores: 8000, Memory: 80, Accelerators: 8},
+			}}
+		}
+		next := f.offset + 1
+		f.mustApply(announcement(life, "successor", next))
+		f.submit("j", 1, oneAcceleratorStep(1))
+		f.wantError(f.place(ref("j", 0), 1, life), nil, "place")
+		f.wantError(f.apply("former", announcement("w0", "former", next)), workload.ErrFormerAgent, "late announcement")
+		f.wantError(f.apply("former", workload.Record{Report: &workload.Report{Life: life, Agent: "former", Draining: true}}), workload.ErrFormerAgent, "late report")
+		f.mustApply(workload.Record{Suspect: &workload.Suspect{Term: 1, Life: life}})
+		f.wantError(f.apply("former", workload.Record{Resume: &workload.Resume{Life: life, Agent: "former"}}), workload.ErrFormerAgent, "late resumption")
+		if w := f.state.Worker(life); w.Gone || w.Draining || !w.Suspected || w.Agent != "successor" || len(w.Runs) != 1 {
+			t.Errorf("life %s: got %+v, want the suspected life of the successor with its run", life, w)
+		}
+		f.wantError(f.apply("third", announcement("w0", "third", f.offset+1)), nil, "announcement of an agent that has read all others")
+	}
+}
+
 // A job fails once one of its tasks has used up its attempts. Starting the remaining tasks
 // of the failed job would waste resources.
 func TestFailedJobStartsNoMoreTasks(t *testing.T) {
