--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -170,7 +170,9 @@
 	l := r.life
 	v := r.view()
 	order := Poll{ID: l.minion, Token: r.token(), Wait: wait}
-	if v.known && l.isConfirmed() {
+	// Until a record of this agent is in the log, the next agent may have the same tokens, so that a poll that arrives
+	// late could take effect in a later life, which would forget ends of its own.
+	if v.known && l.isConfirmed() && r.recorded {
 		order.SeenEnds = v.seenEnds
 	}
 	// A renewal whose poll got no answer may still take effect later. No further renewal is
@@ -184,7 +186,7 @@
 	if v.hasFillersBesideLatencySensitive() {
 		order.Wait = min(order.Wait, sharedPollWait)
 	}
-	if l.hasUnrecordedEnds(v) || l.status.Partial || l.leaving {
+	if l.hasUnrecordedEnds(v) || l.status.Partial || l.leaving || !r.recorded && len(l.status.Ended) > 0 {
 		order.Wait = 0
 	}
 	return order
@@ -222,6 +224,9 @@
 		r.dropCandidate(order.ID)
 		return
 	}
+	if refused != nil && refused.Reason == ReasonFenced {
+		r.handleFenced(order.Token)
+	}
 	if err != nil {
 		if l := r.life; l != nil && l.minion == order.ID {
 			l.failedPolls++
--- a/internal/process/runner/propose.go
+++ b/internal/process/runner/propose.go
@@ -28,7 +28,11 @@
 			// down refuses immediately, so that without a pause the loop would be busy.
 			sleep(ctx, proposeRetryDelay)
 		}
-		return func() { finish(err) }
+		return func() {
+			var rejected *journal.RejectedError
+			r.recorded = r.recorded || err == nil || errors.As(err, &rejected)
+			finish(err)
+		}
 	})
 }
 
--- a/internal/process/runner/reconcile.go
+++ b/internal/process/runner/reconcile.go
@@ -13,10 +13,7 @@
 		if _, caughtUp := r.journal.CompleteAsOf(); !caughtUp {
 			return
 		}
-		// The base token must exceed all tokens of earlier agents. An earlier agent chose its
-		// base before it announced its worker, and the workload read so far contains that
-		// announcement, so Offset is higher now than it was then.
-		r.baseToken = Token(r.journal.Offset()+1) * tokensPerAgent
+		r.baseToken = r.availableBase()
 	}
 	l := r.life
 	if l == nil || !r.isFresh() {
--- a/internal/process/runner/run.go
+++ b/internal/process/runner/run.go
@@ -227,8 +227,11 @@
 		l.noteFailure(err, r.clock())
 		run.brokenOff = isBrokenOff(err)
 		r.markUnsettled(run)
-	case refused.Reason == ReasonFenced && order.Token < r.token(), refused.Reason == ReasonLeaseExpired:
+	case refused.Reason == ReasonFenced, refused.Reason == ReasonLeaseExpired:
 		run.phase, run.notBefore = phaseNew, r.clock()+tickInterval
+		if refused.Reason == ReasonFenced {
+			r.handleFenced(order.Token)
+		}
 	case refused.Reason == ReasonOutdated:
 		// The run has ended already, or was stopped before the start arrived.
 		run.outdated = true
--- a/internal/process/runner/runner.go
+++ b/internal/process/runner/runner.go
@@ -45,9 +45,6 @@
 	// maxClockSlowdown is the fraction by which a minion's clock may run slow according
 	// to the platform's rules.
 	maxClockSlowdown = 0.02
-	// tokensPerAgent is the number of tokens reserved for each agent process: its base
-	// token and one for each call of fence.
-	tokensPerAgent = 1 << 20
 	// checkpointReportInterval is the minimum time between two reports of checkpoints.
 	checkpointReportInterval = 2 * time.Second
 )
@@ -91,6 +88,12 @@
 	baseToken Token
 	// generation counts the calls of fence. The current token is baseToken+generation.
 	generation Token
+	// recorded is set once a record of this process is known to be in the log. Later agents have a higher base token then.
+	recorded bool
+	// tokensPending is set while a reservation of tokens has no result yet. tokensRenewedAt is when another base
+	// token was last needed; 0 if none was.
+	tokensPending   bool
+	tokensRenewedAt time.Duration
 	// candidate is the announcement of a life that no poll has confirmed yet.
 	candidate *Announcement
 	// candidateFailed is set if the newest poll of the candidate got no answer. The next poll is then one
@@ -212,13 +215,6 @@
 	}
 }
 
-// token returns the current token.
-func (r *Runner) token() Token { return r.baseToken + r.generation }
-
-// fence advances the token. Once the minion has received the new token it refuses all orders
-// that were sent with an earlier one.
-func (r *Runner) fence() { r.generation++ }
-
 // sendHeartbeats sends a heartbeat every presence.HeartbeatInterval while the worker is
 // announced.
 func (r *Runner) sendHeartbeats(ctx context.Context) error {
--- a/internal/process/standin/task_minion.go
+++ b/internal/process/standin/task_minion.go
@@ -48,6 +48,8 @@
 	IgnoresOthers bool
 	// StopTime is the time from an order to stop until the run ends.
 	StopTime time.Duration
+	// OnPoll is called with each poll that the minion answers; it may be nil.
+	OnPoll func(runner.Poll)
 	// OnViolation is called with a description of each broken invariant.
 	OnViolation func(text string)
 	// RunLog records every start and end; nil records nothing.
--- a/internal/process/standin/task_minion_orders.go
+++ b/internal/process/standin/task_minion_orders.go
@@ -214,6 +214,9 @@
 		return runner.Status{}, &runner.RefusedError{Reason: runner.ReasonFenced}
 	}
 	m.token = o.Token
+	if m.OnPoll != nil {
+		m.OnPoll(o)
+	}
 	m.extendLease(o.Lease)
 	m.dropEnds(o.SeenEnds)
 	s := runner.Status{Clock: m.clock(), Born: m.startedAt.UnixMilli()}
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -32,6 +32,8 @@
 	Resume   *Resume   `json:",omitempty"`
 	Lapse    *Lapse    `json:",omitempty"`
 	Evacuate *Evacuate `json:",omitempty"`
+	// ReserveTokens is rejected by older builds as an empty record, which changes nothing either.
+	ReserveTokens *ReserveTokens `json:",omitempty"`
 }
 
 // Kind returns the name of the field that is set, empty if none is.
@@ -156,6 +158,10 @@
 	Checkpoint Checkpoint
 }
 
+// ReserveTokens changes nothing. An agent chooses its fencing tokens by the end of the stream, and records it if it
+// needs others than an agent before it.
+type ReserveTokens struct{ Agent incarnation.ID }
+
 // Depart ends a worker's life. The writer must make sure that all its runs have ended.
 type Depart struct {
 	Life LifeID
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -201,6 +201,8 @@
 		return s.lapse(at, *r.Lapse)
 	case r.Evacuate != nil:
 		return s.evacuate(at, *r.Evacuate)
+	case r.ReserveTokens != nil:
+		return nil
 	}
 	return errors.New("workload: empty record")
 }
