--- a/internal/process/intake/intake.go
+++ b/internal/process/intake/intake.go
@@ -238,33 +238,38 @@
 
 // isStored reports whether the state already has a job with the same ID, queue and organisation.
 func (s *Service) isStored(spec workload.JobSpec) bool {
-	stored := false
+	return s.has(spec.ID, spec.Queue, spec.Organisation)
+}
+
+// has reports whether the state has the job.
+func (s *Service) has(id workload.JobID, q bundle.QueueName, o bundle.OrganisationName) bool {
+	found := false
 	s.journal.View(func(time.Time) {
-		j := s.state.Job(spec.ID)
-		stored = j != nil && j.Queue == spec.Queue && j.Organisation == spec.Organisation
+		j := s.state.Job(id)
+		found = j != nil && j.Queue == q && j.Organisation == o
 	})
-	return stored
+	return found
 }
 
-// Cancel ends a job. It returns nil if the job has ended, by this call or earlier. Errors are
-// those of Status, ErrNotStored and ErrUnknownFate.
+// Cancel ends a job. It returns nil if the job has ended, by this call or earlier, and ErrNoJob if there is none. The
+// cancellation is recorded in both cases: a submission of the job that any entry still has in progress starts nothing.
+// Other errors are ErrNotReady, ErrNotStored and ErrUnknownFate.
 func (s *Service) Cancel(ctx context.Context, g Grant, id workload.JobID) error {
+	started := s.clock()
 	err := s.retry(ctx, func() (outage.Priority, error) {
-		_, err := s.status(g, id)
-		if errors.Is(err, ErrNoJob) {
-			_, err = s.recentStatus(ctx, g, id)
-		}
-		if err != nil {
+		if _, err := s.status(g, id); err != nil && !errors.Is(err, ErrNoJob) {
 			return g.priority(), err
 		}
-		return g.priority(), s.proposeCancellation(ctx, id)
+		return g.priority(), s.proposeCancellation(ctx, g, id)
 	})
+	known := s.has(id, g.Queue.Name, g.Organisation)
+	s.logger.Info("cancel", "job", id, "queue", g.Queue.Name, "organisation", g.Organisation, "known", known, "ms", (s.clock() - started).Milliseconds(), "error", err)
 	switch {
+	case err == nil && !known, errors.Is(err, workload.ErrUnknownJob):
+		return fmt.Errorf("%w: %s", ErrNoJob, id)
 	case err == nil || errors.Is(err, workload.ErrJobEnded):
 		return nil
-	case errors.Is(err, workload.ErrUnknownJob):
-		return fmt.Errorf("%w: %s", ErrNoJob, id)
-	case errors.Is(err, ErrNotReady), errors.Is(err, ErrNoJob):
+	case errors.Is(err, ErrNotReady):
 		return err
 	}
 	return s.fateOf(err, g.priority())
@@ -307,27 +312,6 @@
 	return status, nil
 }
 
-// recentStatus is status for a state that includes all jobs that any entry had accepted before the call, and
-// those that this entry has proposed. Its caller takes ErrNoJob for final: a job that is not cancelled runs.
-func (s *Service) recentStatus(ctx context.Context, g Grant, id workload.JobID) (Status, error) {
-	started := s.clock()
-	ticker := time.NewTicker(recheckInterval)
-	defer ticker.Stop()
-	err := s.journal.Sync(ctx)
-	for err == nil && s.undecided.has(id) {
-		select {
-		case <-ctx.Done():
-			err = fmt.Errorf("a submission of job %s is undecided: %w", id, ctx.Err())
-		case <-ticker.C:
-		}
-	}
-	s.logger.Info("confirm that a job is unknown", "job", id, "queue", g.Queue.Name, "ms", (s.clock() - started).Milliseconds(), "error", err)
-	if err != nil {
-		return Status{}, fmt.Errorf("%w: %w", ErrNotReady, err)
-	}
-	return s.status(g, id)
-}
-
 // Pending returns the number of the queue's open jobs that have not started.
 func (s *Service) Pending(q bundle.QueueName) int {
 	n := 0
--- a/internal/process/intake/intake_test.go
+++ b/internal/process/intake/intake_test.go
@@ -220,17 +220,60 @@
 	})
 }
 
+// addEntry starts the journal of another entry of the same log, and waits until it has read the log. stop ends it.
+func (d *fixture) addEntry(t *testing.T) (log *standin.KeyedLog, j *journal.Journal[workload.Record], state *workload.State, stop func()) {
+	t.Helper()
+	log = &standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "other"}
+	state = workload.NewState()
+	j = journal.New(log, "Workload", "other", journal.StateMachine[workload.Record](state), journal.Options{Clock: d.now})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := j.Start(ctx)
+	time.Sleep(time.Second)
+	return log, j, state, func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A caller submits a job at one entry, gets no answer and cancels it at another one, which answers that there is no such
+// job. The job must not run when the log carries out the submission: nobody cancels it any more.
+func TestJobIsNotRunAfterCancelThatDidNotKnowIt(t *testing.T) {
+	withIntake(t, func(t *testing.T, d *fixture) {
+		log, j, state, stop := d.addEntry(t)
+		defer stop()
+		log.SetSilent(true)
+		if _, err := j.Enqueue(workload.Record{Submit: &workload.Submit{Spec: job("a")}}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if err := d.Cancel(t.Context(), grant(), "a"); !errors.Is(err, intake.ErrNoJob) {
+			t.Fatalf("cancel: got %v, want ErrNoJob", err)
+		}
+		log.SetSilent(false)
+		time.Sleep(5 * time.Second)
+		j.View(func(time.Time) {
+			if got := state.Job("a"); got == nil || got.Outcome != workload.OutcomeCancelled {
+				t.Errorf("got job %+v, want a cancelled one", got)
+			}
+		})
+		if err := d.Submit(t.Context(), job("a")); err != nil {
+			t.Errorf("repeated submission: got %v, want the job that was recorded", err)
+		}
+		if err := d.Cancel(t.Context(), grant(), "a"); err != nil {
+			t.Errorf("repeated cancel: got %v, want no error", err)
+		}
+	})
+}
+
 // A job is accepted by another entry and cancelled here before this entry has read its record. The answer
 // must not be that there is no such job: it would run although its caller has cancelled it.
 func TestJobAcceptedElsewhereCanBeCancelled(t *testing.T) {
 	withIntake(t, func(t *testing.T, d *fixture) {
 		d.reads.lag = 500 * time.Millisecond
-		other := &standin.KeyedLog{Log: d.log, Index: &standin.KeyIndex{}, Writer: "other"}
-		state := workload.NewState()
-		j := journal.New(other, "Workload", "other", journal.StateMachine[workload.Record](state), journal.Options{Clock: d.now})
-		ctx, cancel := context.WithCancel(t.Context())
-		ended := j.Start(ctx)
-		time.Sleep(time.Second)
+		_, j, state, stop := d.addEntry(t)
+		defer stop()
 		if err := j.Propose(t.Context(), workload.Record{Submit: &workload.Submit{Spec: job("a")}}); err != nil {
 			t.Fatal(err)
 		}
@@ -249,10 +292,6 @@
 				t.Errorf("got outcome %q, want a cancelled job", got)
 			}
 		})
-		cancel()
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
 	})
 }
 
@@ -270,8 +309,8 @@
 			t.Fatalf("submit: got %v, want ErrUnknownFate", err)
 		}
 		err := call(func(ctx context.Context) error { return d.Cancel(ctx, grant(), "a") })
-		if !errors.Is(err, intake.ErrNotReady) {
-			t.Errorf("cancel: got %v, want ErrNotReady", err)
+		if !errors.Is(err, intake.ErrNotStored) {
+			t.Errorf("cancel: got %v, want ErrNotStored", err)
 		}
 		d.reads.SetSilent(false)
 		time.Sleep(2 * time.Second)
--- a/internal/process/intake/wait.go
+++ b/internal/process/intake/wait.go
@@ -235,8 +235,8 @@
 }
 
 // proposeCancellation proposes the cancellation of a job.
-func (s *Service) proposeCancellation(ctx context.Context, id workload.JobID) error {
-	pending, err := s.journal.Enqueue(workload.Record{Cancel: &workload.Cancel{Job: id}})
+func (s *Service) proposeCancellation(ctx context.Context, g Grant, id workload.JobID) error {
+	pending, err := s.journal.Enqueue(workload.Record{Cancel: &workload.Cancel{Job: id, Queue: g.Queue.Name, Organisation: g.Organisation}})
 	if err != nil {
 		return err
 	}
--- a/internal/process/journal/tail.go
+++ b/internal/process/journal/tail.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -145,35 +144,6 @@
 	j.notifyChanged()
 }
 
-// Sync makes the state include every record that was in the stream when Sync was called. It reads the stream itself,
-// beside the reads that wait for new records. An error means that the log cannot be read, or that the context ended
-// first.
-func (j *Journal[R]) Sync(ctx context.Context) error {
-	next := j.nextOffset()
-	if next == 0 {
-		return fmt.Errorf("journal: sync: no state of %s has been loaded yet", j.stream)
-	}
-	for {
-		records, err := j.log.Read(ctx, j.stream, next, readLimit, 0)
-		if err != nil {
-			return fmt.Errorf("journal: sync: %w", err)
-		}
-		j.Accept(records)
-		next += platform.Offset(len(records))
-		if len(records) < readLimit {
-			break
-		}
-	}
-	for changed := j.Changed(); j.nextOffset() < next; changed = j.Changed() {
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return fmt.Errorf("journal: sync: %w", ctx.Err())
-		}
-	}
-	return nil
-}
-
 // catchUpLoop asks for the records of another process after each ReadNow, until the context ends.
 func (j *Journal[R]) catchUpLoop(ctx context.Context) error {
 	for {
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -76,8 +76,15 @@
 // Submit adds a job.
 type Submit struct{ Spec JobSpec }
 
-// Cancel ends a job at the request of its organisation.
-type Cancel struct{ Job JobID }
+// Cancel ends a job at the request of its organisation. If the state has no such job, its submission may still be on
+// the way to the log, and the job ends as soon as it is recorded.
+type Cancel struct {
+	Job JobID
+	// Queue and Organisation are those of the request; a job of others is not cancelled. Records of older builds lack
+	// them, and cancel only jobs that the state has.
+	Queue        bundle.QueueName        `json:",omitempty"`
+	Organisation bundle.OrganisationName `json:",omitempty"`
+}
 
 // Forget removes jobs that have ended and lives that are gone, once their retention time
 // has passed. It skips jobs whose runs still reserve resources.
--- a/internal/process/workload/state.go
+++ b/internal/process/workload/state.go
@@ -79,6 +79,8 @@
 	entries []Entry
 	// evacuations has the newest request concerning each failure domain.
 	evacuations map[platform.FailureDomain]Evacuation
+	// earlyCancels are in the order in which they were recorded, at most maxEarlyCancels.
+	earlyCancels []EarlyCancel
 	// observer is not replicated; it may be nil.
 	observer func(Event)
 }
@@ -168,7 +170,7 @@
 	case r.Submit != nil:
 		return s.submit(at, *r.Submit)
 	case r.Cancel != nil:
-		return s.cancel(*r.Cancel)
+		return s.cancel(at, *r.Cancel)
 	case r.Forget != nil:
 		return s.forget(at, *r.Forget)
 	case r.Place != nil:
@@ -247,12 +249,19 @@
 	j := newJob(r.Spec, at.Time)
 	s.jobs[j.ID] = j
 	s.openJobs[j.ID] = j
+	if s.takeEarlyCancel(at, r.Spec) {
+		s.endJob(j, OutcomeCancelled)
+	}
 	return nil
 }
 
-func (s *State) cancel(r Cancel) error {
+func (s *State) cancel(at journal.Position, r Cancel) error {
 	j := s.jobs[r.Job]
-	if j == nil {
+	if j == nil && r.Queue != "" {
+		s.cancelEarly(at, r)
+		return nil
+	}
+	if j == nil || r.Queue != "" && (j.Queue != r.Queue || j.Organisation != r.Organisation) {
 		return fmt.Errorf("%w: %s", ErrUnknownJob, r.Job)
 	}
 	if !j.Open() {
@@ -329,11 +338,13 @@
 	Entries   []Entry
 	// Evacuations is missing in snapshots of older builds.
 	Evacuations map[platform.FailureDomain]Evacuation `json:",omitempty"`
+	// EarlyCancels is missing in snapshots of older builds.
+	EarlyCancels []EarlyCancel `json:",omitempty"`
 }
 
 // MarshalSnapshot implements journal.StateMachine.
 func (s *State) MarshalSnapshot() ([]byte, error) {
-	data, err := json.Marshal(snapshotData{Term: s.term, Leader: s.leader, Successor: s.successor, Jobs: s.jobs, Workers: s.workers, Entries: s.entries, Evacuations: s.evacuations})
+	data, err := json.Marshal(snapshotData{Term: s.term, Leader: s.leader, Successor: s.successor, Jobs: s.jobs, Workers: s.workers, Entries: s.entries, Evacuations: s.evacuations, EarlyCancels: s.earlyCancels})
 	if err != nil {
 		return nil, fmt.Errorf("workload: encode snapshot: %w", err)
 	}
@@ -351,6 +362,7 @@
 	restored.term, restored.leader, restored.successor = d.Term, d.Leader, d.Successor
 	restored.entries = d.Entries
 	maps.Copy(restored.evacuations, d.Evacuations)
+	restored.earlyCancels = d.EarlyCancels
 	for id, w := range d.Workers {
 		// Snapshots of older builds lack LargestRoom.
 		w.setRoom(w.Room)
