runner, workload: comments give reasons instead of figures

Mends of the reading as a newcomer: why a poll has no wait while ends are listed, what the limit of early cancellations bounds, and when an agent reserves tokens. No behaviour changes; the tests of the three packages pass.

--- a/internal/process/runner/life.go
+++ b/internal/process/runner/life.go
@@ -186,6 +186,7 @@
 	if v.hasFillersBesideLatencySensitive() {
 		order.Wait = min(order.Wait, sharedPollWait)
 	}
+	// The minion does not wait while it lists ends. A poll without a wait is followed by a pause.
 	if l.hasUnrecordedEnds(v) || l.status.Partial || l.leaving || !r.recorded && len(l.status.Ended) > 0 {
 		order.Wait = 0
 	}
--- a/internal/process/workload/early_cancel.go
+++ b/internal/process/workload/early_cancel.go
@@ -11,7 +11,7 @@
 	// earlyCancelRetention is how long a job may be recorded after its cancellation and still be cancelled, in the
 	// stream's time. It covers an outage of the log of the length for which the design is tested.
 	earlyCancelRetention = 10 * time.Minute
-	// maxEarlyCancels is the maximum number of early cancellations in the state: those of some hundred jobs a minute.
+	// maxEarlyCancels bounds the size of the state if many jobs are cancelled that never come.
 	maxEarlyCancels = 4096
 )
 
--- a/internal/process/workload/record.go
+++ b/internal/process/workload/record.go
@@ -165,8 +165,8 @@
 	Checkpoint Checkpoint
 }
 
-// ReserveTokens changes nothing. An agent chooses its fencing tokens by the end of the stream, and records it if it
-// needs others than an agent before it.
+// ReserveTokens changes nothing. An agent derives its fencing tokens from the offset of the newest record, and appends
+// this one if the minion refuses them.
 type ReserveTokens struct{ Agent incarnation.ID }
 
 // Depart ends a worker's life. The writer must make sure that all its runs have ended.
