--- a/internal/process/scheduler/late_announcements_test.go
+++ b/internal/process/scheduler/former_agents_test.go
@@ -12,7 +12,7 @@
 
 // addRestartedAgent adds a worker whose agent ends while the log still has to carry out its announcement, which it does
 // after lateness. The next agent starts 500 ms after the end.
-func (in *installation) addRestartedAgent(lateness time.Duration) *testAgent {
+func (in *installation) addRestartedAgent(lateness time.Duration) {
 	in.t.Helper()
 	time.Sleep(time.Second)
 	a := in.addWorker(workerCapacity())
@@ -21,10 +21,9 @@
 	a.stop()
 	time.Sleep(500 * time.Millisecond)
 	a.start()
-	return a
 }
 
-// addRestartedMachine is addRestartedAgent for a whole machine: the minion begins another life, too.
+// addRestartedMachine is addRestartedAgent for a whole machine: the minion begins another life while no agent runs.
 func (in *installation) addRestartedMachine(lateness time.Duration) {
 	in.t.Helper()
 	in.prepareMinion = func(m *standin.TaskMinion) { time.AfterFunc(600*time.Millisecond, m.StartLife) }
@@ -49,10 +48,10 @@
 // The late announcement of a former agent arrives while its successor announces the next life. The successor must repeat
 // its own if that comes second: the worker would be taken for one that nobody serves.
 func TestSuccessorIsAnnouncedBesideLateAnnouncement(t *testing.T) {
-	const successorStart = 900 * time.Millisecond
-	for ms := range time.Duration(20) {
+	// The successor starts 900 ms after the first agent.
+	for lateness := 895 * time.Millisecond; lateness < 915*time.Millisecond; lateness += time.Millisecond {
 		withInstallation(t, func(_ *testing.T, in *installation) {
-			in.addRestartedMachine(successorStart + (ms-5)*time.Millisecond)
+			in.addRestartedMachine(lateness)
 			time.Sleep(time.Second)
 			in.submit(spec("job", 1, smallTask()))
 			in.wantOneStart()
