--- a/internal/process/scheduler/former_agents_test.go
+++ b/internal/process/scheduler/former_agents_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"corianderpass/internal/process/runner"
@@ -121,3 +122,18 @@
 		})
 	})
 }
+
+// An agent is the first process of a new log, whose offset is still 0. It must have a base token other than 0 and announce
+// its worker: it would wait for an entry to write first.
+func TestAgentAnnouncesWorkerInEmptyLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(t)
+		defer in.stop()
+		time.Sleep(time.Second)
+		in.addWorker(workerCapacity())
+		time.Sleep(3 * time.Second)
+		if appends, _ := in.log.Counts(); appends == 0 {
+			t.Error("got no record, want the announcement of the worker")
+		}
+	})
+}
